--- /dev/null
+++ b/cmd/currantturn/main.go
@@ -0,0 +1,4 @@
+// Command currantturn runs and inspects the load balancer.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/coordination/rank/rank.go
@@ -0,0 +1,130 @@
+package rank
+
+import (
+	"encoding/binary"
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/currantturn/currantturn"
+	"github.com/dchest/siphash"
+)
+
+// Key is the fleet's secret for hashing; callers who do not know it cannot
+// choose their backend server.
+type Key struct {
+	K0, K1 uint64
+}
+
+// Flow hashes a flow with the secret key.
+func (k Key) Flow(f currantturn.FlowKey) uint64 {
+	var b [36]byte
+	putAddrPort(b[:18], f.Caller)
+	putAddrPort(b[18:], f.Service)
+	return siphash.Hash(k.K0, k.K1, b[:])
+}
+
+// Bytes hashes any other identifier, such as a request ID, with the secret key.
+func (k Key) Bytes(p []byte) uint64 {
+	return siphash.Hash(k.K0, k.K1, p)
+}
+
+func putAddrPort(b []byte, a netip.AddrPort) {
+	ip := a.Addr().As16()
+	copy(b, ip[:])
+	binary.BigEndian.PutUint16(b[16:], a.Port())
+}
+
+// Seed is the hash of a backend server's ID, computed once per configuration.
+func Seed(id currantturn.BackendID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+// Score is the weighted rendezvous score of a backend server for a key hash;
+// the highest score ranks first.
+func Score(key, seed uint64, weight int) float64 {
+	h := mix(key ^ seed)
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -float64(weight) / math.Log(u)
+}
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Table ranks the backend servers of one service under one configuration.
+type Table struct {
+	Service *currantturn.Service
+	seeds   []uint64
+}
+
+// NewTable prepares a service for ranking.
+func NewTable(s *currantturn.Service) *Table {
+	t := &Table{Service: s, seeds: make([]uint64, len(s.Backends))}
+	for i := range s.Backends {
+		t.seeds[i] = Seed(s.Backends[i].ID)
+	}
+	return t
+}
+
+// Filter says whether a backend server takes part in a ranking.
+type Filter func(*currantturn.BackendServer) bool
+
+// Active accepts backend servers that may receive new work.
+func Active(b *currantturn.BackendServer) bool {
+	return b.State == currantturn.BackendActive && b.Weight > 0
+}
+
+// Configured accepts every backend server, draining ones included.
+func Configured(*currantturn.BackendServer) bool {
+	return true
+}
+
+// Top fills out with the indexes of the highest ranks and returns how many
+// there are; it allocates nothing.
+func (t *Table) Top(key uint64, accept Filter, out []int) int {
+	var scores [currantturn.MaxRanks]float64
+	n := 0
+	limit := min(len(out), currantturn.MaxRanks)
+	for i := range t.Service.Backends {
+		b := &t.Service.Backends[i]
+		if !accept(b) {
+			continue
+		}
+		s := Score(key, t.seeds[i], max(b.Weight, 1))
+		n = insert(scores[:limit], out[:limit], n, s, i)
+	}
+	return n
+}
+
+// insert keeps the n best scores in descending order; ties keep the lower index.
+func insert(scores []float64, out []int, n int, s float64, index int) int {
+	if n == len(scores) && s <= scores[n-1] {
+		return n
+	}
+	if n < len(scores) {
+		n++
+	}
+	i := n - 1
+	for i > 0 && scores[i-1] < s {
+		scores[i] = scores[i-1]
+		out[i] = out[i-1]
+		i--
+	}
+	scores[i] = s
+	out[i] = index
+	return n
+}
+
+// Owner returns the first rank over all configured backend servers, or nil.
+func (t *Table) Owner(key uint64) *currantturn.BackendServer {
+	var out [1]int
+	if t.Top(key, Configured, out[:]) == 0 {
+		return nil
+	}
+	return &t.Service.Backends[out[0]]
+}
--- /dev/null
+++ b/internal/protocol/envelope/doc.go
@@ -0,0 +1,3 @@
+// Package envelope encodes the header that carries a caller's packet between
+// processes, with encoding/binary and without allocation.
+package envelope
--- /dev/null
+++ b/internal/protocol/message/doc.go
@@ -0,0 +1,3 @@
+// Package message encodes control messages between processes as CBOR, tagged
+// with their kind.
+package message
--- /dev/null
+++ b/internal/suite/suite.go
@@ -0,0 +1,27 @@
+package suite
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	_ "pgregory.net/rapid" // registers the flags set below
+)
+
+const fixedSeed = 1
+
+// Run runs the package's ginkgo specs with fixed seeds unless the command line
+// gives others.
+func Run(t *testing.T, name string) {
+	t.Helper()
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	suiteConfig, reporterConfig := ginkgo.GinkgoConfiguration()
+	if f := flag.Lookup("ginkgo.seed"); f == nil || f.Value.String() == f.DefValue {
+		suiteConfig.RandomSeed = fixedSeed
+	}
+	ginkgo.RunSpecs(t, name, suiteConfig, reporterConfig)
+}
