--- a/internal/protocol/message/message.go
+++ b/internal/protocol/message/message.go
@@ -27,7 +27,7 @@
 
 func mustEncMode() cbor.EncMode {
 	opts := cbor.CanonicalEncOptions()
-	opts.Time = cbor.TimeUnixMicro
+	opts.Time = cbor.TimeRFC3339NanoUTC
 	opts.TextMarshaler = cbor.TextMarshalerTextString
 	m, err := opts.EncMode()
 	if err != nil {
