Number the events and log them through logrus

Cause: logs are to be numbered events with a catalogue in the docs, and several packages add events at the same time. The rate of one number is limited, so that a flood of bad packets cannot flood the log. Ruled out: logrus hooks for the limit, as they see no present time.

--- /dev/null
+++ b/internal/event/flow.go
@@ -0,0 +1,32 @@
+package event
+
+// Numbers of the flow events.
+const (
+	FlowPlaced         = 301
+	FlowRedirected     = 302
+	FlowSearchStarted  = 303
+	FlowAdopted        = 304
+	FlowRejected       = 305
+	FlowTableFull      = 306
+	FlowExpired        = 307
+	CallerLimitReached = 308
+	HomeUnreachable    = 309
+	DrainStarted       = 310
+	DrainFinished      = 311
+	RecordsHandedOver  = 312
+)
+
+var flowDefinitions = []Definition{
+	{FlowPlaced, "flow_placed", Debug, "flow was placed on a backend server", fields("flow service backend reason")},
+	{FlowRedirected, "flow_redirected", Debug, "flow is held by another backend server", fields("flow service backend")},
+	{FlowSearchStarted, "flow_search_started", Debug, "unknown flow is searched for among the agents of its service", fields("flow service version")},
+	{FlowAdopted, "flow_adopted", Info, "flow was adopted after an empty search", fields("flow service backend")},
+	{FlowRejected, "flow_rejected", Warning, "packet of an unknown flow was rejected", fields("flow service reason")},
+	{FlowTableFull, "flow_table_full", Warning, "flow table is full; a new flow was refused", fields("service flows limit")},
+	{FlowExpired, "flow_expired", Debug, "idle flow was removed", fields("flow service idle")},
+	{CallerLimitReached, "caller_limit_reached", Warning, "caller reached its limit of flows", fields("caller service limit")},
+	{HomeUnreachable, "home_unreachable", Warning, "first-ranked backend server is unreachable; the next rank is used", fields("service backend next")},
+	{DrainStarted, "drain_started", Info, "backend server drains and takes no new work", fields("service backend reason")},
+	{DrainFinished, "drain_finished", Info, "drained backend server holds no more flows", fields("service backend elapsed")},
+	{RecordsHandedOver, "records_handed_over", Info, "flow records were handed over", fields("records peer")},
+}
--- /dev/null
+++ b/internal/event/logger.go
@@ -0,0 +1,116 @@
+package event
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/sirupsen/logrus"
+)
+
+// Format is the form of log lines.
+type Format string
+
+// Formats of log lines.
+const (
+	Text Format = "text"
+	JSON Format = "json"
+)
+
+// Logger writes events as log lines; each event number is limited in rate, and
+// the next line of that number tells how many were suppressed.
+type Logger struct {
+	entry *logrus.Entry
+
+	mu      sync.Mutex
+	windows map[int]*window // bounded by the catalogue
+}
+
+type window struct {
+	start      time.Time
+	logged     int
+	suppressed uint64
+}
+
+// NewLogger returns a logger for one process, which is named in every line.
+func NewLogger(w io.Writer, format Format, level Level, process string) *Logger {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(logrusLevel(level))
+	if format == JSON {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	} else {
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	}
+	return &Logger{entry: l.WithField("process", process), windows: map[int]*window{}}
+}
+
+// Log writes one event; unknown numbers are logged as errors.
+func (l *Logger) Log(now time.Time, e currantturn.Event) {
+	d := Lookup(e.Number)
+	if d == nil {
+		d = &Definition{Name: "unknown_event", Level: Error, Text: "event is not in the catalogue"}
+	}
+	suppressed, ok := l.allow(now, d.Number)
+	if !ok {
+		return
+	}
+	fields := logrus.Fields{"event": e.Number, "event_name": d.Name}
+	for _, f := range e.Fields {
+		fields[f.Name] = fieldValue(f.Value)
+	}
+	if suppressed > 0 {
+		fields["suppressed"] = suppressed
+	}
+	l.entry.WithTime(now).WithFields(fields).Log(logrusLevel(d.Level), d.Text)
+}
+
+// LogAll writes the events of one decision.
+func (l *Logger) LogAll(now time.Time, events []currantturn.Event) {
+	for _, e := range events {
+		l.Log(now, e)
+	}
+}
+
+func (l *Logger) allow(now time.Time, number int) (suppressed uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.windows[number]
+	if w == nil {
+		w = &window{start: now}
+		l.windows[number] = w
+	}
+	if now.Sub(w.start) >= logWindow {
+		w.start = now
+		w.logged = 0
+	}
+	if w.logged == maxPerWindow {
+		w.suppressed++
+		return 0, false
+	}
+	w.logged++
+	suppressed, w.suppressed = w.suppressed, 0
+	return suppressed, true
+}
+
+// fieldValue keeps errors readable in JSON lines.
+func fieldValue(v any) any {
+	if err, ok := v.(error); ok {
+		return err.Error()
+	}
+	return v
+}
+
+func logrusLevel(l Level) logrus.Level {
+	switch l {
+	case Debug:
+		return logrus.DebugLevel
+	case Warning:
+		return logrus.WarnLevel
+	case Error:
+		return logrus.ErrorLevel
+	default:
+		return logrus.InfoLevel
+	}
+}
