--- /dev/null
+++ b/internal/transport/link/counters.go
@@ -0,0 +1,81 @@
+package link
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/currantturn/currantturn"
+)
+
+type counts struct {
+	sent, received, sendErrors, readErrors atomic.Uint64
+	malformed, unauthenticated, replayed   atomic.Uint64
+	renewed                                atomic.Uint64
+	mu                                     sync.Mutex
+	kinds                                  map[currantturn.Kind]Traffic
+}
+
+// Traffic is what was sent of one kind of control message.
+type Traffic struct {
+	Messages uint64 `json:"messages"`
+	Bytes    uint64 `json:"bytes"`
+}
+
+// Counters are a link's totals since its start.
+type Counters struct {
+	Sent            uint64                       `json:"sent"`
+	Received        uint64                       `json:"received"`
+	SendErrors      uint64                       `json:"send_errors"`
+	ReadErrors      uint64                       `json:"read_errors"`
+	Malformed       uint64                       `json:"malformed"`
+	Unauthenticated uint64                       `json:"unauthenticated"`
+	Replayed        uint64                       `json:"replayed"`
+	Renewed         uint64                       `json:"renewed"`
+	Control         map[currantturn.Kind]Traffic `json:"control"`
+}
+
+func (c *counts) control(k currantturn.Kind, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.kinds == nil {
+		c.kinds = make(map[currantturn.Kind]Traffic)
+	}
+	t := c.kinds[k]
+	t.Messages++
+	t.Bytes += uint64(bytes)
+	c.kinds[k] = t
+}
+
+func (c *counts) refuse(err error) {
+	switch {
+	case errors.Is(err, currantturn.ErrReplayed):
+		c.replayed.Add(1)
+	case errors.Is(err, currantturn.ErrUnauthenticated):
+		c.unauthenticated.Add(1)
+	default:
+		c.malformed.Add(1)
+	}
+}
+
+// Counters returns the totals so far.
+func (l *Link) Counters() Counters {
+	c := &l.counts
+	out := Counters{
+		Sent:            c.sent.Load(),
+		Received:        c.received.Load(),
+		SendErrors:      c.sendErrors.Load(),
+		ReadErrors:      c.readErrors.Load(),
+		Malformed:       c.malformed.Load(),
+		Unauthenticated: c.unauthenticated.Load(),
+		Replayed:        c.replayed.Load(),
+		Renewed:         c.renewed.Load(),
+		Control:         make(map[currantturn.Kind]Traffic),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, t := range c.kinds {
+		out.Control[k] = t
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transport/link/paths.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// path tells how to reach a peer when its own address is not the way: by the
+// source address last observed from it, or out of a fresh socket.
+type path struct {
+	source   netip.AddrPort
+	observed time.Time
+	fresh    *net.UDPConn
+}
+
+type paths struct {
+	mu    sync.RWMutex
+	peers map[netip.AddrPort]path
+	fresh map[*net.UDPConn]netip.AddrPort
+	order []*net.UDPConn // oldest first
+}
+
+func newPaths() *paths {
+	return &paths{
+		peers: make(map[netip.AddrPort]path),
+		fresh: make(map[*net.UDPConn]netip.AddrPort),
+	}
+}
+
+// pick returns the socket and address to use for a peer; a nil socket means
+// the link's own.
+func (p *paths) pick(peer netip.AddrPort, now time.Time) (*net.UDPConn, netip.AddrPort) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	known, ok := p.peers[peer]
+	if !ok {
+		return nil, peer
+	}
+	if known.source.IsValid() && now.Sub(known.observed) < PathIdle {
+		return known.fresh, known.source
+	}
+	return known.fresh, peer
+}
+
+// observe keeps the source address of a peer that sends from a fresh socket.
+func (p *paths) observe(peer, source netip.AddrPort, now time.Time) {
+	p.mu.RLock()
+	known, ok := p.peers[peer]
+	p.mu.RUnlock()
+	if source == peer && !known.source.IsValid() {
+		return
+	}
+	if ok && known.source == source && now.Sub(known.observed) < PathIdle/4 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, ok = p.peers[peer]
+	if !ok && len(p.peers) >= MaxPaths {
+		return
+	}
+	known.source, known.observed = source, now
+	if source == peer {
+		known.source = netip.AddrPort{}
+	}
+	p.peers[peer] = known
+}
+
+// renew makes conn the socket for a peer and closes the one it replaces.
+func (p *paths) renew(peer netip.AddrPort, conn *net.UDPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.peers[peer]
+	if known.fresh != nil {
+		p.drop(known.fresh)
+	}
+	if len(p.order) >= maxFresh {
+		p.drop(p.order[0])
+	}
+	known = p.peers[peer]
+	known.fresh = conn
+	p.peers[peer] = known
+	p.fresh[conn] = peer
+	p.order = append(p.order, conn)
+}
+
+// drop closes a fresh socket; its peer is reached from the link's own again.
+func (p *paths) drop(conn *net.UDPConn) {
+	peer := p.fresh[conn]
+	delete(p.fresh, conn)
+	known := p.peers[peer]
+	known.fresh = nil
+	p.peers[peer] = known
+	for i, c := range p.order {
+		if c == conn {
+			p.order = append(p.order[:i], p.order[i+1:]...)
+			break
+		}
+	}
+	_ = conn.Close()
+}
+
+// retired says whether conn was a fresh socket that has been replaced.
+func (p *paths) retired(conn *net.UDPConn) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	_, current := p.fresh[conn]
+	return !current
+}
+
+func (p *paths) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.fresh {
+		_ = conn.Close()
+	}
+	clear(p.fresh)
+	p.order = nil
+}
--- a/machine.go
+++ b/machine.go
@@ -42,7 +42,9 @@
 type Effects struct {
 	Sends    []Send
 	Forwards []Forward
-	Delivers []Packet // to the backend side of this agent
+	Delivers []Packet         // to the backend side of this agent
+	Answers  []Packet         // to the callers of this balancer
+	Renews   []netip.AddrPort // peers whose channel needs a fresh socket
 	Events   []Event
 }
 
@@ -51,6 +53,8 @@
 	e.Sends = e.Sends[:0]
 	e.Forwards = e.Forwards[:0]
 	e.Delivers = e.Delivers[:0]
+	e.Answers = e.Answers[:0]
+	e.Renews = e.Renews[:0]
 	e.Events = e.Events[:0]
 }
 
@@ -78,6 +82,23 @@
 // Router also decides on packets; it is safe for concurrent use.
 type Router interface {
 	Machine
-	// Route decides on one enveloped packet, or on a caller's packet at a balancer.
+	// Route decides on one enveloped packet. A balancer gets a caller's packet
+	// with only Direction and Packet set and from invalid. Payloads in the
+	// effects alias the envelope's and live until the effects are carried out.
 	Route(now time.Time, from netip.AddrPort, e *Envelope, out *Effects)
 }
+
+// Answerer sends the backend side's packets of a flow back to its caller.
+type Answerer interface {
+	// Answer chooses the balancer that carries an answer.
+	Answer(now time.Time, p *Packet, out *Effects)
+}
+
+// Sealer authenticates datagrams between processes; it is safe for concurrent use.
+type Sealer interface {
+	// Seal appends the authenticated form of p to dst.
+	Seal(dst, p []byte) []byte
+	// Open returns the content of an authentic datagram, which aliases p, or
+	// ErrUnauthenticated, ErrReplayed or ErrMalformed.
+	Open(now time.Time, p []byte) ([]byte, error)
+}
