Carry a request end to end through fabric, balancer, agent and backend server

Three balancers, three agents and the stand-ins run on loopback; a real HTTP/3 caller gets its answers and a watch stays open while one balancer is stopped. Decisions are still the thinnest: home by rendezvous hashing, no flow table.

--- /dev/null
+++ b/internal/core/balancer.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/balancer"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/transport/link"
+)
+
+// linkReaders is how many goroutines read the link's socket.
+const linkReaders = 2
+
+// BalancerOptions are the parts of a balancer process.
+type BalancerOptions struct {
+	Name      currantturn.VMName
+	Domain    currantturn.FailureDomain
+	Link      netip.AddrPort
+	Advertise netip.AddrPort
+	Entry     currantturn.Entry
+	Sealer    currantturn.Sealer
+	Key       rank.Key
+	Clock     func() time.Time
+	Report    func(currantturn.Event)
+}
+
+// Balancer is a running balancer process.
+type Balancer struct {
+	node   *node
+	entry  currantturn.Entry
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// StartBalancer binds the sockets and starts a balancer.
+func StartBalancer(opts BalancerOptions) (*Balancer, error) {
+	n := newNode(opts.Clock, opts.Report)
+	n.entry = opts.Entry
+	l, err := link.Open(link.Options{
+		Listen: opts.Link, Advertise: opts.Advertise, Sealer: opts.Sealer, Names: n.names, Clock: opts.Clock,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.link = l
+	n.router = balancer.New(balancer.Options{Self: l.Self(), Key: opts.Key})
+	n.add(n.router)
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
+	l.Start(n, linkReaders)
+	go n.tick(ctx)
+	go b.read(ctx)
+	return b, nil
+}
+
+// Link is the address by which agents know the balancer.
+func (b *Balancer) Link() netip.AddrPort {
+	return b.node.link.Self()
+}
+
+// Configure puts a configuration in force.
+func (b *Balancer) Configure(v *currantturn.View) {
+	b.node.configure(v)
+}
+
+// Close stops at once.
+func (b *Balancer) Close() error {
+	b.cancel()
+	err := b.entry.Close()
+	<-b.done
+	if e := b.node.link.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func (b *Balancer) read(ctx context.Context) {
+	defer close(b.done)
+	var e currantturn.Envelope
+	for ctx.Err() == nil {
+		e = currantturn.Envelope{Direction: currantturn.ToBackend}
+		if err := b.entry.Read(ctx, &e.Packet); err != nil {
+			continue
+		}
+		b.node.ReceiveEnvelope(netip.AddrPort{}, &e)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,128 @@
+package core_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"math/big"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/standin/backend"
+	"github.com/currantturn/currantturn/internal/standin/fabric"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/entry"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go/http3"
+)
+
+func TestCore(t *testing.T) { suite.Run(t, "core") }
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+type plain struct{}
+
+func (plain) Seal(dst, p []byte) []byte { return append(dst, p...) }
+
+func (plain) Open(_ time.Time, p []byte) ([]byte, error) { return p, nil }
+
+func certificate() tls.Certificate {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"verify"}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+var _ = Describe("the whole path", func() {
+	It("answers requests and keeps a watch open while a balancer stops", func(ctx SpecContext) {
+		f, err := fabric.New(fabric.Options{Seed: 1, Delay: 2 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		address, err := f.AddService()
+		Expect(err).NotTo(HaveOccurred())
+
+		service := currantturn.Service{Name: "verify", Addresses: []netip.AddrPort{address}}
+		cert := certificate()
+		var agents []*core.Agent
+		for i := range 3 {
+			id := currantturn.BackendID(fmt.Sprintf("verify-%d", i))
+			b, err := backend.Start(backend.Options{Name: string(id), Slots: 3, Work: time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(b.Close)
+			a, err := core.StartAgent(core.AgentOptions{
+				ID: id, Service: "verify", Link: loopback, Backend: b.Addr(),
+				CallerTLS: &tls.Config{Certificates: []tls.Certificate{cert}},
+				Sealer:    plain{}, Key: rank.Key{K0: 1}, Clock: time.Now, Report: func(currantturn.Event) {},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(a.Close)
+			agents = append(agents, a)
+			service.Backends = append(service.Backends, currantturn.BackendServer{
+				ID: id, Agent: a.Link(), Slots: 3, Weight: 1, State: currantturn.BackendActive,
+			})
+		}
+		view := currantturn.NewView(1, []currantturn.Service{service})
+		for _, a := range agents {
+			a.Configure(view)
+		}
+		var entries []netip.AddrPort
+		var balancers []*core.Balancer
+		for range 3 {
+			e, err := entry.OpenProxy(loopback, f.Addr())
+			Expect(err).NotTo(HaveOccurred())
+			b, err := core.StartBalancer(core.BalancerOptions{
+				Link: loopback, Entry: e, Sealer: plain{}, Key: rank.Key{K0: 1},
+				Clock: time.Now, Report: func(currantturn.Event) {},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			b.Configure(view)
+			entries = append(entries, e.Addr())
+			balancers = append(balancers, b)
+		}
+		f.SetBalancers(entries)
+
+		tr := &http3.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+		DeferCleanup(tr.Close)
+		client := &http.Client{Transport: tr}
+		base := "https://" + address.String()
+		watch := get(ctx, client, base+"/watch?every=5ms")
+		lines := bufio.NewScanner(watch.Body)
+
+		f.SetBalancers(entries[1:])
+		Expect(balancers[0].Close()).To(Succeed())
+		for i := range 50 {
+			res := get(ctx, client, fmt.Sprintf("%s/check?chassis=%d", base, i))
+			body, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal(fmt.Sprintf(" /check?chassis=%d\n", i)))
+			Expect(lines.Scan()).To(BeTrue())
+			Expect(lines.Text()).To(Equal(fmt.Sprint(i)))
+		}
+		for _, b := range balancers[1:] {
+			Expect(b.Close()).To(Succeed())
+		}
+	}, SpecTimeout(20*time.Second))
+})
+
+func get(ctx context.Context, client *http.Client, url string) *http.Response {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	res, err := client.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.StatusCode).To(Equal(http.StatusOK))
+	return res
+}
