Decide by owner claims that a request key runs at most once

An owner by rank over all configured members records a claim before anything runs and grants it to one attempt only. After a change of members the new owner asks every earlier owner that it knows of, with its version, which fences them. An owner that restarted grants no key issued before its start.

--- /dev/null
+++ b/internal/coordination/claim/claim_test.go
@@ -0,0 +1,81 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn/internal/coordination/claim"
+	"github.com/currantturn/currantturn/internal/suite"
+	"pgregory.net/rapid"
+)
+
+func TestClaim(t *testing.T) { suite.Run(t, "claim") }
+
+func newClaims(o claim.Options) module { return claim.New(o) }
+
+func drawSchedule(t *rapid.T) schedule {
+	s := schedule{
+		Seed:    rapid.Uint64().Draw(t, "seed"),
+		Loss:    rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss"),
+		Dup:     rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "dup"),
+		Delay:   time.Duration(rapid.IntRange(2, 400).Draw(t, "delay")) * time.Millisecond,
+		Keys:    rapid.IntRange(1, 12).Draw(t, "keys"),
+		SmallBy: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "small"),
+	}
+	for range rapid.IntRange(0, 8).Draw(t, "faults") {
+		s.Faults = append(s.Faults, fault{
+			Kind:   rapid.SampledFrom([]string{"pause", "restart", "partition", "configure"}).Draw(t, "kind"),
+			On:     rapid.SampledFrom([]string{"time", "grant", "run"}).Draw(t, "on"),
+			At:     time.Duration(rapid.IntRange(0, 30000).Draw(t, "at")) * time.Millisecond,
+			For:    time.Duration(rapid.IntRange(1, 12000).Draw(t, "for")) * time.Millisecond,
+			Target: rapid.IntRange(0, 31).Draw(t, "target"),
+		})
+	}
+	return s
+}
+
+func TestAtMostOnce(t *testing.T) {
+	var runs, told int
+	outcomes := map[claim.State]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSchedule(t)
+		c := newCluster(s, newClaims)
+		c.run()
+		if v := c.violations(); v != (violations{}) {
+			t.Fatalf("%+v in %+v", v, s)
+		}
+		for _, n := range c.runs {
+			runs += n
+		}
+		for o, n := range c.outcomes {
+			outcomes[o] += n
+			told += n
+		}
+	})
+	t.Logf("%d runs, outcomes %v", runs, outcomes)
+	if outcomes[claim.Answered]*3 < told {
+		t.Errorf("too few answers to trust the check: %v", outcomes)
+	}
+}
+
+// The same schedules must bite: a naive version breaks the rules in them.
+func TestNaiveViolates(t *testing.T) {
+	var total violations
+	bad := 0
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(drawSchedule(t), newNaive)
+		c.run()
+		v := c.violations()
+		total.Twice += v.Twice
+		total.Illegal += v.Illegal
+		total.Foreign += v.Foreign
+		total.Late += v.Late
+		if v != (violations{}) {
+			bad++
+		}
+	})
+	t.Logf("%d schedules violated: %+v", bad, total)
+	if total.Twice == 0 || total.Illegal <= total.Twice || total.Late == 0 {
+		t.Errorf("the schedules do not bite: %+v", total)
+	}
+}
--- /dev/null
+++ b/internal/coordination/claim/claims.go
@@ -0,0 +1,146 @@
+package claim
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/protocol/request"
+)
+
+// Options are the identity and the bounds of a Claims machine.
+type Options struct {
+	Service     currantturn.ServiceName
+	Self        netip.AddrPort // link address
+	Incarnation uint64         // differs between two starts of a process
+	Started     time.Time
+	Key         rank.Key
+	Retention   time.Duration
+	Bytes       int
+	ClockSkew   time.Duration
+}
+
+// Claims is the machine of one process: owner of some keys, runner of others.
+type Claims struct {
+	opts    Options
+	history atomic.Pointer[history]
+	owner   *owner
+	runner  *runner
+}
+
+// New returns a machine that holds no records.
+func New(opts Options) *Claims {
+	c := &Claims{opts: opts}
+	c.history.Store(&history{})
+	c.owner = newOwner(&c.opts, &c.history)
+	c.runner = newRunner(&c.opts, &c.history)
+	return c
+}
+
+// Configure puts a newer configuration in force. Every accepted version has to
+// be given in order, because earlier owners are derived from them.
+func (c *Claims) Configure(_ time.Time, v *currantturn.View, _ *currantturn.Effects) {
+	for {
+		h := c.history.Load()
+		if v.Version <= h.version || c.history.CompareAndSwap(h, h.next(v, c.opts.Service)) {
+			return
+		}
+	}
+}
+
+// Gone tells that the process at a link address has ended for good, so that
+// nothing is asked of it any more.
+func (c *Claims) Gone(a netip.AddrPort) {
+	for {
+		h := c.history.Load()
+		if c.history.CompareAndSwap(h, h.without(a)) {
+			return
+		}
+	}
+}
+
+// Handle takes a message from a peer.
+func (c *Claims) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	first := len(out.Sends)
+	c.dispatch(now, from, m, out)
+	c.loop(now, out, first)
+}
+
+// Tick repeats what was not answered.
+func (c *Claims) Tick(now time.Time, out *currantturn.Effects) {
+	first := len(out.Sends)
+	c.runner.tick(now, out)
+	c.loop(now, out, first)
+}
+
+// Begin asks for a grant of the key to run until the deadline. Decided gets
+// Granted and later calls follow, or one final state. With closing set,
+// nothing is granted and the key is closed unless it was granted before.
+func (c *Claims) Begin(
+	now time.Time, k request.Key, d request.Digest, deadline time.Time, closing bool,
+	decided func(Verdict), out *currantturn.Effects,
+) (attempt uint64) {
+	first := len(out.Sends)
+	attempt = c.runner.begin(now, k, d, deadline, closing, decided, out)
+	c.loop(now, out, first)
+	return attempt
+}
+
+// Start is asked just before a granted request goes to the backend server; it
+// returns false when the request must not run any more.
+func (c *Claims) Start(now time.Time, attempt uint64, out *currantturn.Effects) bool {
+	first := len(out.Sends)
+	ok := c.runner.start(now, attempt, out)
+	c.loop(now, out, first)
+	return ok
+}
+
+// Done tells how a started request ended: Answered, or Unknown.
+func (c *Claims) Done(now time.Time, attempt uint64, s State, a *request.Answer, out *currantturn.Effects) {
+	first := len(out.Sends)
+	c.runner.done(now, attempt, s, a, out)
+	c.loop(now, out, first)
+}
+
+// Cancel ends an attempt that has not started.
+func (c *Claims) Cancel(now time.Time, attempt uint64, out *currantturn.Effects) {
+	first := len(out.Sends)
+	c.runner.cancel(now, attempt, out)
+	c.loop(now, out, first)
+}
+
+func (c *Claims) dispatch(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	switch m := m.(type) {
+	case Begin:
+		c.owner.begin(now, from, m, out)
+	case Report:
+		c.owner.report(now, from, m, out)
+	case Running:
+		c.owner.running(now, m)
+	case Inquire:
+		c.owner.inquire(now, from, m, out)
+	case Inquired:
+		c.owner.inquired(now, from, m, out)
+	case Verdict:
+		c.runner.verdict(now, from, m, out)
+	case ReportAck:
+		c.runner.reportAck(from, m)
+	case Probe:
+		c.runner.probe(from, m, out)
+	}
+}
+
+// loop handles messages to this process itself, from the given effect on.
+func (c *Claims) loop(now time.Time, out *currantturn.Effects, first int) {
+	for i := first; i < len(out.Sends); {
+		s := out.Sends[i]
+		if s.To != c.opts.Self {
+			i++
+			continue
+		}
+		out.Sends = append(out.Sends[:i], out.Sends[i+1:]...)
+		c.dispatch(now, c.opts.Self, s.Message, out)
+	}
+}
