Authenticate datagrams between processes by GMAC under a key per sender

Cause: the link sealed every datagram through an interface that had no implementation but the tests' plain one, so anybody who reached a link address could inject packets and control messages.

GMAC breaks when a nonce comes twice under a key; each process draws a random sender and seals under a key derived for it, with stamp and counter as nonce, so that a restart needs no disk. Encryption was ruled out: the payload is QUIC or control without secrets.

Replays: a window of 2,048 counters per sender, at most 16,384 senders by least recent use; the floor of a shard covers what was forgotten by eviction, rotation and restart. The randomised run found that a floor on unknown senders alone lets a restarted receiver take older datagrams after one newer; the floor now stays with the sender.

--- /dev/null
+++ b/internal/protocol/seal/seal_test.go
@@ -0,0 +1,404 @@
+package seal_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/protocol/seal"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestSeal(t *testing.T) { suite.Run(t, "seal") }
+
+// Offsets of the wire layout.
+const (
+	senderAt = 2
+	nonceAt  = 14
+	checkAt  = 26
+	bodyAt   = 30
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func secret(b byte) seal.Key { return seal.Key{ID: b, Secret: [seal.SecretBytes]byte{b}} }
+
+func ring(active byte, ids ...byte) seal.Ring {
+	r := seal.Ring{Active: active}
+	for _, id := range ids {
+		r.Keys = append(r.Keys, secret(id))
+	}
+	return r
+}
+
+// process returns a sealer with the given ring, random seed and clock.
+func process(c *clock, r seal.Ring, seed uint64) *seal.Sealer {
+	var b [32]byte
+	binary.BigEndian.PutUint64(b[:], seed)
+	s, err := seal.New(r, c.Now, rand.NewChaCha8(b))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+var _ = Describe("sealer", func() {
+	var (
+		c        *clock
+		from, to *seal.Sealer
+		payload  = []byte("a packet of a caller")
+	)
+	BeforeEach(func() {
+		c = &clock{start}
+		from, to = process(c, ring(1, 1), 1), process(c, ring(1, 1), 2)
+	})
+
+	It("opens what was sealed and counts it", func() {
+		p := from.Seal([]byte("head"), payload)
+		Expect(p).To(HaveLen(4 + len(payload) + seal.OverheadBytes))
+		Expect(to.Open(c.now, p[4:])).To(Equal(payload))
+		Expect(from.Counters().Sealed).To(Equal(uint64(1)))
+		Expect(to.Counters()).To(Equal(seal.Counters{Opened: 1, Rotations: 1, Senders: 1}))
+	})
+
+	It("refuses every changed bit and keeps nothing of the sender", func() {
+		p := from.Seal(nil, payload)
+		for i := range len(p) * 8 {
+			q := bytes.Clone(p)
+			q[i/8] ^= 1 << (i % 8)
+			_, err := to.Open(c.now, q)
+			Expect(err).To(HaveOccurred(), "bit %d", i)
+		}
+		n := to.Counters()
+		Expect(n.Malformed).To(Equal(uint64(8)))
+		Expect(n.UnknownKey).To(Equal(uint64(8)))
+		Expect(n.Forged).To(Equal(uint64(8 * (len(p) - 2))))
+		Expect(n.Senders).To(BeZero())
+		Expect(to.Open(c.now, p)).To(Equal(payload))
+	})
+
+	It("refuses every truncation and extension", func() {
+		p := from.Seal(nil, payload)
+		for i := range p {
+			_, err := to.Open(c.now, p[:i])
+			want := currantturn.ErrUnauthenticated
+			if i < seal.OverheadBytes {
+				want = currantturn.ErrMalformed
+			}
+			Expect(err).To(MatchError(want), "%d bytes", i)
+		}
+		_, err := to.Open(c.now, append(p, 0))
+		Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+	})
+
+	It("refuses a replay at once, after later datagrams and below the window", func() {
+		var sent [][]byte
+		for range 5000 {
+			sent = append(sent, from.Seal(nil, payload))
+		}
+		for i := 0; i < len(sent); i += 2 {
+			Expect(to.Open(c.now, sent[i])).To(Equal(payload))
+		}
+		for _, i := range []int{0, 2, 3000, 4998, 1, 2999} {
+			_, err := to.Open(c.now, sent[i])
+			Expect(err).To(MatchError(currantturn.ErrReplayed), "datagram %d", i)
+		}
+		Expect(to.Open(c.now, sent[4997])).To(Equal(payload))
+		Expect(to.Open(c.now, sent[3101])).To(Equal(payload))
+	})
+
+	It("accepts late datagrams within the window after a gap", func() {
+		for range 3000 {
+			Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+		}
+		late := from.Seal(nil, payload)
+		for range 1500 {
+			from.Seal(nil, payload)
+		}
+		Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+		Expect(to.Open(c.now, late)).To(Equal(payload))
+	})
+
+	DescribeTable("refuses by the stamp", func(offset time.Duration, accepted bool) {
+		p := from.Seal(nil, payload)
+		_, err := to.Open(c.now.Add(offset), p)
+		if accepted {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+		Expect(to.Counters().Stale).To(Equal(uint64(1)))
+	},
+		Entry("fresh", seal.FreshFor, true),
+		Entry("stale", seal.FreshFor+time.Millisecond, false),
+		Entry("receiver's clock behind", -seal.FreshFor, true),
+		Entry("receiver's clock too far behind", -seal.FreshFor-time.Millisecond, false),
+	)
+
+	It("refuses a replay against a restarted receiver, but not later datagrams", func() {
+		p := from.Seal(nil, payload)
+		Expect(to.Open(c.now, p)).To(Equal(payload))
+		c.now = c.now.Add(time.Second)
+		to = process(c, ring(1, 1), 3)
+		_, err := to.Open(c.now, p)
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+		Expect(to.Counters().BeforeStart).To(Equal(uint64(1)))
+		Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+	})
+
+	It("refuses what was sent before the restart after later datagrams of the same sender", func() {
+		p := from.Seal(nil, payload)
+		c.now = c.now.Add(time.Second)
+		to = process(c, ring(1, 1), 3)
+		Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+		_, err := to.Open(c.now, p)
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+		Expect(to.Counters().BeforeStart).To(Equal(uint64(1)))
+	})
+
+	It("draws another sender on a restart, so that no nonce is used twice", func() {
+		again := process(c, ring(1, 1), 4)
+		p, q := from.Seal(nil, payload), again.Seal(nil, payload)
+		Expect(p[nonceAt:checkAt]).To(Equal(q[nonceAt:checkAt]))
+		Expect(p[senderAt:nonceAt]).NotTo(Equal(q[senderAt:nonceAt]))
+		Expect(p[bodyAt+len(payload):]).NotTo(Equal(q[bodyAt+len(payload):]))
+	})
+
+	It("bounds the senders kept, refuses replays of evicted ones and spares those in use", func() {
+		idle := process(c, ring(1, 1), 50)
+		first, held := idle.Seal(nil, payload), from.Seal(nil, payload)
+		Expect(to.Open(c.now, first)).To(Equal(payload))
+		for i := range seal.MaxSenders * 5 / 4 {
+			c.now = start.Add(time.Duration(i) * time.Second / seal.DerivationsPerSecond / 2)
+			Expect(to.Open(c.now, process(c, ring(1, 1), uint64(100+i)).Seal(nil, payload))).To(Equal(payload))
+			if i%100 == 0 {
+				Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+			}
+		}
+		Expect(to.Counters().Senders).To(BeNumerically("<=", seal.MaxSenders))
+		Expect(to.Counters().Senders).To(BeNumerically(">", seal.MaxSenders*9/10))
+		_, err := to.Open(c.now, first)
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+		Expect(to.Open(c.now, held)).To(Equal(payload))
+		c.now = c.now.Add(time.Second)
+		Expect(to.Open(c.now, idle.Seal(nil, payload))).To(Equal(payload))
+	})
+
+	It("derives no key for forged senders and a bounded number for captured ones", func() {
+		p := from.Seal(nil, payload)
+		for i := range uint64(100) {
+			q := bytes.Clone(p)
+			binary.BigEndian.PutUint64(q[senderAt:], i)
+			_, err := to.Open(c.now, q)
+			Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+		}
+		Expect(to.Counters().Throttled).To(BeZero())
+		p[len(p)-1]++
+		for range seal.DerivationBurst + 7 {
+			_, err := to.Open(c.now, p)
+			Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+		}
+		Expect(to.Counters().Throttled).To(Equal(uint64(7)))
+		Expect(to.Counters().Senders).To(BeZero())
+	})
+
+	It("keeps both keys valid during rotation and drops the old one after it", func() {
+		old := from.Seal(nil, payload)
+		Expect(to.Rotate(ring(1, 1, 2))).To(Succeed())
+		Expect(to.Open(c.now, old)).To(Equal(payload))
+		Expect(from.Rotate(ring(2, 1, 2))).To(Succeed())
+		p := from.Seal(nil, payload)
+		Expect(to.Open(c.now, p)).To(Equal(payload))
+		_, err := to.Open(c.now, old)
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+
+		late := process(c, ring(1, 1), 5).Seal(nil, payload)
+		Expect(to.Rotate(ring(2, 2))).To(Succeed())
+		_, err = to.Open(c.now, late)
+		Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+		Expect(to.Counters()).To(HaveField("UnknownKey", uint64(1)))
+		Expect(to.Counters()).To(HaveField("Senders", 1))
+		_, err = to.Open(c.now, p)
+		Expect(err).To(MatchError(currantturn.ErrReplayed))
+
+		Expect(to.Rotate(ring(1, 1, 2))).To(Succeed())
+		_, err = to.Open(c.now, old)
+		Expect(err).To(MatchError(currantturn.ErrReplayed), "a key that returns brings no replay back")
+	})
+
+	It("refuses another fleet's secret under the same ID", func() {
+		other := seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{9}}}}
+		_, err := to.Open(c.now, process(c, other, 6).Seal(nil, payload))
+		Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+		Expect(to.Rotate(other)).To(MatchError(currantturn.ErrMalformed))
+		Expect(to.Open(c.now, from.Seal(nil, payload))).To(Equal(payload))
+	})
+
+	It("allocates nothing per datagram", func() {
+		sealed := make([]byte, 0, 2048)
+		body := make([]byte, 1200)
+		Expect(testing.AllocsPerRun(1000, func() {
+			sealed = from.Seal(sealed[:0], body)
+			if _, err := to.Open(c.now, sealed); err != nil {
+				panic(err)
+			}
+		})).To(BeZero())
+		Expect(testing.AllocsPerRun(1000, func() { _, _ = to.Open(c.now, sealed) })).To(BeZero())
+	})
+
+	It("accepts each datagram at most once, whatever the order, restarts and rotations", func() {
+		rapid.Check(GinkgoT(), once)
+	})
+})
+
+// once compares the receiver with a naive one that remembers all it accepted.
+func once(t *rapid.T) {
+	c := &clock{start}
+	rings := []seal.Ring{ring(1, 1), ring(1, 1, 2), ring(2, 1, 2), ring(2, 2)}
+	from := []*seal.Sealer{process(c, rings[0], 1), process(c, rings[0], 2), process(c, rings[0], 3)}
+	to := process(c, rings[0], 4)
+	restarted := start
+	type sent struct {
+		p  []byte
+		at time.Time
+	}
+	var wire []sent
+	accepted := map[int]bool{}
+	seed, phase := uint64(10), 0
+	t.Repeat(map[string]func(*rapid.T){
+		"send": func(t *rapid.T) {
+			i := rapid.IntRange(0, len(from)-1).Draw(t, "sender")
+			wire = append(wire, sent{from[i].Seal(nil, []byte{byte(len(wire))}), c.now})
+		},
+		"deliver": func(t *rapid.T) {
+			if len(wire) == 0 {
+				t.Skip()
+			}
+			i := rapid.IntRange(0, len(wire)-1).Draw(t, "datagram")
+			body, err := to.Open(c.now, wire[i].p)
+			valid := phase < 3 || wire[i].p[1] == 2
+			fresh := !wire[i].at.Before(restarted) && c.now.Sub(wire[i].at) <= seal.FreshFor
+			if want := valid && fresh && !accepted[i]; want != (err == nil) {
+				t.Fatalf("datagram %d: accepted %v, not %v: %v", i, err == nil, want, err)
+			}
+			if err == nil && !bytes.Equal(body, []byte{byte(i)}) {
+				t.Fatalf("datagram %d opens to %v", i, body)
+			}
+			accepted[i] = accepted[i] || err == nil
+		},
+		"wait": func(t *rapid.T) {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"restart receiver": func(*rapid.T) {
+			seed++
+			c.now = c.now.Add(time.Millisecond)
+			to, restarted = process(c, rings[phase], seed), c.now
+		},
+		"rotate": func(t *rapid.T) {
+			if phase == len(rings)-1 {
+				t.Skip()
+			}
+			phase++
+			for _, s := range append(from, to) {
+				if s.Rotate(rings[phase]) != nil {
+					t.Fatal("a planned rotation is refused")
+				}
+			}
+		},
+	})
+}
+
+var _ = DescribeTable("key file", func(text string, active int, reason string) {
+	r, err := seal.ParseRing([]byte(strings.ReplaceAll(text, "HEX", strings.Repeat("0a", 32))))
+	if reason != "" {
+		Expect(err).To(MatchError(currantturn.ErrMalformed))
+		Expect(err).To(MatchError(ContainSubstring(reason)))
+		Expect(err.Error()).NotTo(ContainSubstring("0a0a"))
+		return
+	}
+	Expect(err).NotTo(HaveOccurred())
+	Expect(r.Active).To(BeEquivalentTo(active))
+	Expect(r.Keys[0].Secret[31]).To(Equal(byte(10)))
+},
+	Entry("one key", "[keys]\nactive = 7\n7 = HEX\n", 7, ""),
+	Entry("two keys", "[keys]\nactive = 8\n7 = HEX\n8 = HEX\n", 8, ""),
+	Entry("three keys", "[keys]\nactive = 8\n7 = HEX\n8 = HEX\n9 = HEX\n", 0, "3 keys"),
+	Entry("no key", "[keys]\nactive = 8\n", 0, "0 keys"),
+	Entry("active missing", "[keys]\nactive = 8\n7 = HEX\n", 0, "active key 8"),
+	Entry("ID twice", "[keys]\nactive = 7\n7 = HEX\n07 = HEX\n", 0, "twice"),
+	Entry("short secret", "[keys]\nactive = 7\n7 = 0a0a\n", 0, "32 bytes"),
+	Entry("not hexadecimal", "[keys]\nactive = 7\n7 = xHEX\n", 0, "32 bytes"),
+	Entry("ID out of range", "[keys]\nactive = 7\n256 = HEX\n", 0, "0 to 255"),
+	Entry("not INI", "\x00[", 0, "INI"),
+)
+
+func FuzzOpen(f *testing.F) {
+	c := &clock{start}
+	from, to := process(c, ring(1, 1), 1), process(c, ring(1, 1), 2)
+	f.Add(from.Seal(nil, nil))
+	f.Add(from.Seal(nil, []byte("payload")))
+	f.Add([]byte{1, 1})
+	sealed := from.Seal(nil, []byte("accepted once"))
+	if _, err := to.Open(c.now, sealed); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sealed)
+	f.Fuzz(func(t *testing.T, p []byte) {
+		body, err := to.Open(c.now, p)
+		if err == nil && len(body) != len(p)-seal.OverheadBytes {
+			t.Fatalf("%d bytes open to %d", len(p), len(body))
+		}
+		if err == nil {
+			if _, err = to.Open(c.now, p); err == nil {
+				t.Fatal("accepted twice")
+			}
+		}
+	})
+}
+
+func BenchmarkSealer(b *testing.B) {
+	for _, size := range []int{64, 256, 1200} {
+		c := &clock{start}
+		body := make([]byte, size)
+		b.Run(fmt.Sprintf("seal/bytes=%d", size), func(b *testing.B) {
+			s := process(c, ring(1, 1), 1)
+			dst := make([]byte, 0, 2048)
+			b.ReportAllocs()
+			for b.Loop() {
+				dst = s.Seal(dst[:0], body)
+			}
+		})
+		b.Run(fmt.Sprintf("seal_and_open/bytes=%d", size), func(b *testing.B) {
+			s, to := process(c, ring(1, 1), 1), process(c, ring(1, 1), 2)
+			dst := make([]byte, 0, 2048)
+			b.ReportAllocs()
+			for b.Loop() {
+				dst = s.Seal(dst[:0], body)
+				if _, err := to.Open(c.now, dst); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("open_forged/bytes=%d", size), func(b *testing.B) {
+			to := process(c, ring(1, 1), 2)
+			p := process(c, ring(1, 1), 1).Seal(nil, body)
+			p[checkAt]++
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = to.Open(c.now, p)
+			}
+		})
+	}
+}
