Read settings from INI by one table of keys

Cause: each mistake is to be named with file, section and key, all at once, and the docs page must not drift from the program. One table holds unit, default, range, roles and the parser of each key; the reader, the printed options and docs/SETTINGS.md (golden) come from it. Bare and repeated keys are accepted by the INI library on purpose, so that they are reported with the others instead of ending the read at the first. Ruled out: struct tags with reflection, as ranges and cross-checks do not fit in them.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+)
+
+func processKeys() []Definition {
+	return section(
+		"process", "",
+		key("role", "", "Job of the process.",
+			choices(currantturn.RoleBalancer, currantturn.RoleAgent),
+			func(o *Options) *currantturn.Role { return &o.Process.Role }).required(),
+		key("name", "", "Name of the VM (balancer) or ID of the backend server (agent).",
+			names[string](), func(o *Options) *string { return &o.Process.Name }).required(),
+		key("failure_domain", "", "Set of machines that this one fails with.",
+			names[currantturn.FailureDomain](),
+			func(o *Options) *currantturn.FailureDomain { return &o.Process.FailureDomain }).required(),
+		key("shutdown_grace", "30s", "How long a planned stop waits for work in progress.",
+			durations(0, time.Hour), func(o *Options) *time.Duration { return &o.Process.ShutdownGrace }),
+	)
+}
+
+func platformKeys() []Definition {
+	return section(
+		"platform", "",
+		key("urls", "", "Endpoints of the configuration service, tried in turn.",
+			lists(urls()), func(o *Options) *[]*url.URL { return &o.Platform.URLs }).required(),
+		key("read_timeout", "5s", "Timeout of a read, in addition to the wait of a watch.",
+			durations(100*time.Millisecond, time.Minute),
+			func(o *Options) *time.Duration { return &o.Platform.ReadTimeout }),
+		key("watch_wait", "30s", "How long one watch waits for a new record.",
+			durations(time.Second, 5*time.Minute), func(o *Options) *time.Duration { return &o.Platform.WatchWait }),
+		key("read_budget_per_second", "0.1", "Mean rate of reads and watches that this process may spend.",
+			rates("reads/s", 0.01, 100), func(o *Options) *float64 { return &o.Platform.ReadBudgetPerSecond }),
+	)
+}
+
+func linkKeys() []Definition {
+	return section(
+		"link", "",
+		key("address", "", "UDP address that the system's own processes reach this one at.",
+			addresses(), func(o *Options) *netip.AddrPort { return &o.Link.Address }).required(),
+		key("advertised_address", "", "Address told to peers; by default the link address.",
+			addresses(), func(o *Options) *netip.AddrPort { return &o.Link.AdvertisedAddress }),
+	)
+}
+
+func entryKeys() []Definition {
+	return section(
+		"entry", currantturn.RoleBalancer,
+		key("kind", "direct", "How the fabric hands packets over: as they are, or behind a PROXY protocol v2 header.",
+			choices(EntryDirect, EntryProxy), func(o *Options) *EntryKind { return &o.Entry.Kind }),
+		key("addresses", "", "UDP addresses that callers' packets arrive at.",
+			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Entry.Addresses }).required(),
+		key("fabric_answer_address", "", "Where the fabric takes answers; required by kind proxy.",
+			addresses(), func(o *Options) *netip.AddrPort { return &o.Entry.FabricAnswerAddress }),
+	)
+}
+
+func trustKeys() []Definition {
+	return section(
+		"trust", "",
+		key("ca_file", "", "Certificate of the fleet's authority, PEM.",
+			files(), func(o *Options) *string { return &o.Trust.CAFile }).required(),
+		key("certificate_file", "", "Certificate of this process, PEM.",
+			files(), func(o *Options) *string { return &o.Trust.CertificateFile }).required(),
+		key("key_file", "", "Private key of this process, PEM.",
+			files(), func(o *Options) *string { return &o.Trust.KeyFile }).required(),
+		key("datagram_key_file", "", "Key that authenticates datagrams between processes.",
+			files(), func(o *Options) *string { return &o.Trust.DatagramKeyFile }).required(),
+		key("datagram_key_previous_file", "", "Datagram key that is still accepted during a rotation.",
+			files(), func(o *Options) *string { return &o.Trust.DatagramKeyPreviousFile }),
+		key("hash_key_file", "", "Key of the hash that ranks backend servers; the same on the whole fleet.",
+			files(), func(o *Options) *string { return &o.Trust.HashKeyFile }).required(),
+		key("reload_every", "1m", "How often the files of this section are read again.",
+			durations(time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Trust.ReloadEvery }),
+	)
+}
+
+func logKeys() []Definition {
+	return section(
+		"log", "",
+		key("format", "text", "Form of log lines.",
+			choices(event.Text, event.JSON), func(o *Options) *event.Format { return &o.Log.Format }),
+		key("level", "info", "Least severe level that is logged.",
+			choices(event.Debug, event.Info, event.Warning, event.Error), func(o *Options) *event.Level { return &o.Log.Level }),
+	)
+}
+
+func adminKeys() []Definition {
+	return section(
+		"admin", "",
+		key("address", "", "TCP address of the administration API; without one it is off.",
+			addresses(), func(o *Options) *netip.AddrPort { return &o.Admin.Address }),
+		key("ca_file", "", "Certificate of the authority that signs operators' certificates, PEM.",
+			files(), func(o *Options) *string { return &o.Admin.CAFile }),
+		key("certificate_file", "", "Certificate of the API, PEM.",
+			files(), func(o *Options) *string { return &o.Admin.CertificateFile }),
+		key("key_file", "", "Private key of the API, PEM.",
+			files(), func(o *Options) *string { return &o.Admin.KeyFile }),
+		key("insecure", "false", "Serves the API without TLS, on a loopback address only.",
+			booleans(), func(o *Options) *bool { return &o.Admin.Insecure }),
+	)
+}
+
+func flowKeys() []Definition {
+	return section(
+		"flows", "",
+		key("idle_timeout", "10m", "Time without packets after which a flow is forgotten.",
+			durations(10*time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Flows.IdleTimeout }),
+		key("shards", "16", "Parts of a table, each under its own lock.",
+			counts("shards", 1, 1024), func(o *Options) *int { return &o.Flows.Shards }),
+		key("flows_per_shard", "4096", "Flows that one part of an agent's table holds at most.",
+			counts("flows", 16, 1<<20), func(o *Options) *int { return &o.Flows.FlowsPerShard }).only(currantturn.RoleAgent),
+		key("hint_cache_size", "65536", "Hints about the places of flows that a balancer keeps at most.",
+			counts("hints", 16, 1<<22), func(o *Options) *int { return &o.Flows.HintCacheSize }).only(currantturn.RoleBalancer),
+	)
+}
+
+func requestKeys() []Definition {
+	return section(
+		"requests", currantturn.RoleAgent,
+		key("retention", "10m", "How long the claim, outcome and answer of a request are kept.",
+			durations(10*time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Requests.Retention }),
+		key("records_max", "8192", "Records kept at most; a new request beyond them is not run.",
+			counts("records", 16, 1<<20), func(o *Options) *int { return &o.Requests.RecordsMax }),
+		key("record_bytes", "4KiB", "Largest answer kept for repeats.",
+			sizes(0, 16*mebibyte), func(o *Options) *int64 { return &o.Requests.RecordBytes }),
+		key("queue", "64", "Requests that wait for a slot at most.",
+			counts("requests", 0, 65536), func(o *Options) *int { return &o.Requests.Queue }),
+	)
+}
+
+func backendKeys() []Definition {
+	return section(
+		"backend", currantturn.RoleAgent,
+		key("service", "", "Service that the backend server belongs to.",
+			names[currantturn.ServiceName](),
+			func(o *Options) *currantturn.ServiceName { return &o.Backend.Service }).required(),
+		key("address", "", "HTTP address of the backend server.",
+			loopbackAddresses(), func(o *Options) *netip.AddrPort { return &o.Backend.Address }).required(),
+		key("stream_address", "", "Address where callers and peers open streams to this agent.",
+			addresses(), func(o *Options) *netip.AddrPort { return &o.Backend.StreamAddress }).required(),
+		key("health_url", "", "Health endpoint of the backend server; without one only its answers count.",
+			urls(), func(o *Options) **url.URL { return &o.Backend.HealthURL }),
+		key("load_url", "", "Load endpoint of the backend server; without one only the load observed here counts.",
+			urls(), func(o *Options) **url.URL { return &o.Backend.LoadURL }),
+		key("caller_certificate_file", "", "Certificate shown to callers, PEM.",
+			files(), func(o *Options) *string { return &o.Backend.CallerCertificateFile }).required(),
+		key("caller_key_file", "", "Private key of that certificate, PEM.",
+			files(), func(o *Options) *string { return &o.Backend.CallerKeyFile }).required(),
+	)
+}
--- /dev/null
+++ b/internal/settings/options.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+)
+
+// EntryKind says how callers' packets reach a balancer.
+type EntryKind string
+
+// Kinds of entry.
+const (
+	EntryDirect EntryKind = "direct" // packets keep the caller's address
+	EntryProxy  EntryKind = "proxy"  // a PROXY protocol v2 header carries it
+)
+
+// Options are the settings of one process; the sections of the other role stay zero.
+type Options struct {
+	Process  Process
+	Platform Platform
+	Link     Link
+	Entry    Entry
+	Trust    Trust
+	Log      Log
+	Admin    Admin
+	Flows    Flows
+	Requests Requests
+	Backend  Backend
+}
+
+// Process identifies the process.
+type Process struct {
+	Role          currantturn.Role
+	Name          string // VM name of a balancer, backend server ID of an agent
+	FailureDomain currantturn.FailureDomain
+	ShutdownGrace time.Duration
+}
+
+// Platform says how the platform's configuration service is read.
+type Platform struct {
+	URLs                []*url.URL
+	ReadTimeout         time.Duration
+	WatchWait           time.Duration
+	ReadBudgetPerSecond float64
+}
+
+// Link is where the system's own processes reach this one.
+type Link struct {
+	Address           netip.AddrPort
+	AdvertisedAddress netip.AddrPort
+}
+
+// Entry is where callers' packets reach a balancer.
+type Entry struct {
+	Kind                EntryKind
+	Addresses           []netip.AddrPort
+	FabricAnswerAddress netip.AddrPort
+}
+
+// Trust names the files that processes authenticate each other with.
+type Trust struct {
+	CAFile                  string
+	CertificateFile         string
+	KeyFile                 string
+	DatagramKeyFile         string
+	DatagramKeyPreviousFile string
+	HashKeyFile             string
+	ReloadEvery             time.Duration
+}
+
+// Log says how events are logged.
+type Log struct {
+	Format event.Format
+	Level  event.Level
+}
+
+// Admin is the administration API; no address turns it off.
+type Admin struct {
+	Address         netip.AddrPort
+	CAFile          string
+	CertificateFile string
+	KeyFile         string
+	Insecure        bool
+}
+
+// Flows bounds the tables of flows.
+type Flows struct {
+	IdleTimeout   time.Duration
+	Shards        int
+	FlowsPerShard int
+	HintCacheSize int
+}
+
+// Requests bounds the requests of an agent and the records kept of them.
+type Requests struct {
+	Retention   time.Duration
+	RecordsMax  int
+	RecordBytes int64
+	Queue       int
+}
+
+// Backend is the backend server beside an agent.
+type Backend struct {
+	Service               currantturn.ServiceName
+	Address               netip.AddrPort
+	StreamAddress         netip.AddrPort
+	HealthURL             *url.URL
+	LoadURL               *url.URL
+	CallerCertificateFile string
+	CallerKeyFile         string
+}
--- /dev/null
+++ b/internal/settings/problem.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// ErrInvalid reports settings that cannot be used.
+var ErrInvalid = errors.New("invalid settings")
+
+// Problem is one mistake in a settings file.
+type Problem struct {
+	File    string
+	Section string // empty for the file as a whole
+	Key     string // empty for a section as a whole
+	Text    string
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	switch {
+	case p.Section == "":
+		return fmt.Sprintf("%s: %s", p.File, p.Text)
+	case p.Key == "":
+		return fmt.Sprintf("%s: [%s]: %s", p.File, p.Section, p.Text)
+	default:
+		return fmt.Sprintf("%s: [%s] %s: %s", p.File, p.Section, p.Key, p.Text)
+	}
+}
+
+// Problems are all mistakes found in one settings file; they match ErrInvalid.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i := range p {
+		lines[i] = p[i].String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Is matches ErrInvalid.
+func (p Problems) Is(target error) bool {
+	return target == ErrInvalid
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,143 @@
+package settings_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/settings"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestSettings(t *testing.T) { suite.Run(t, "settings") }
+
+const docHeader = `# Settings
+
+One INI file for each process, given by ` + "`--settings`" + `. ` + "`currantturn settings check FILE`" + `
+prints the values in force, or every mistake at once with file, section and key
+(exit code 2). Relative paths start at the directory of the settings file. After
+a change of a key, renew this page by ` + "`go test ./internal/settings -update`" + `.
+`
+
+func TestDocsListEveryKey(t *testing.T) {
+	var b bytes.Buffer
+	b.WriteString(docHeader)
+	if err := settings.WriteDocs(&b); err != nil {
+		t.Fatal(err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "SETTINGS", b.Bytes())
+}
+
+func TestPrintedOptions(t *testing.T) {
+	for _, role := range []currantturn.Role{currantturn.RoleBalancer, currantturn.RoleAgent} {
+		o := settings.Default(role)
+		o.Entry.Addresses = []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:443"), netip.MustParseAddrPort("[2001:db8::1]:443")}
+		var b bytes.Buffer
+		if err := settings.WriteOptions(&b, o); err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, "options_"+string(role), b.Bytes())
+	}
+}
+
+func TestMistakes(t *testing.T) {
+	for _, name := range []string{"five_mistakes", "many_mistakes"} {
+		path := filepath.Join("testdata", name+".ini")
+		o, err := settings.Load(path)
+		if o != nil || !errors.Is(err, settings.ErrInvalid) {
+			t.Fatalf("%s: options %v, error %v", path, o, err)
+		}
+		goldie.New(t).Assert(t, name, []byte(err.Error()+"\n"))
+	}
+}
+
+var _ = Describe("settings", func() {
+	load := func(text string) (*settings.Options, error) {
+		return settings.Parse(filepath.Join("testdata", "x.ini"), []byte(text))
+	}
+	balancer, err := os.ReadFile("testdata/balancer.ini")
+	Expect(err).NotTo(HaveOccurred())
+	agent, err := os.ReadFile("testdata/agent.ini")
+	Expect(err).NotTo(HaveOccurred())
+
+	It("reads a balancer's file into typed options", func() {
+		o, err := settings.Load("testdata/balancer.ini")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Process.Role).To(Equal(currantturn.RoleBalancer))
+		Expect(o.Entry.Addresses).To(Equal([]netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:443"), netip.MustParseAddrPort("192.0.2.2:443")}))
+		Expect(o.Platform.URLs).To(HaveLen(2))
+		Expect(o.Link.AdvertisedAddress).To(Equal(o.Link.Address))
+		Expect(o.Trust.CAFile).To(Equal("testdata/file.pem"))
+		Expect(o.Flows.IdleTimeout).To(Equal(10 * time.Minute))
+	})
+
+	It("reads an agent's file into typed options", func() {
+		o, err := load(string(agent) + "\n[requests]\nrecord_bytes = 64KiB")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Requests.RecordBytes).To(Equal(int64(64 << 10)))
+		Expect(o.Backend.HealthURL.String()).To(Equal("http://127.0.0.1:8080/health"))
+		Expect(o.Entry.Addresses).To(BeEmpty())
+	})
+
+	It("names a settings file that is missing", func() {
+		_, err := settings.Load("testdata/absent.ini")
+		Expect(err).To(MatchError(settings.ErrInvalid))
+		Expect(err.Error()).To(HavePrefix("testdata/absent.ini: "))
+	})
+
+	DescribeTable("reports one more line as one problem",
+		func(file *[]byte, line, problem string) {
+			_, err := load(string(*file) + line)
+			var problems settings.Problems
+			Expect(errors.As(err, &problems)).To(BeTrue())
+			Expect(problems).To(HaveLen(1))
+			Expect(problems[0].String()).To(Equal("testdata/x.ini: " + problem))
+		},
+		Entry("unknown section", &balancer, "\n[flow]", "[flow]: unknown section"),
+		Entry("unknown key", &balancer, "\n[flows]\ncolour = red", "[flows] colour: unknown key"),
+		Entry("key of the other role", &balancer, "\n[requests]\nqueue = 1", "[requests] queue: does not apply to the role balancer"),
+		Entry("repeated key", &agent, "\n[requests]\nretention = 1m\nretention = 2m", "[requests] retention: given more than once"),
+		Entry("duration below its range", &balancer, "\n[flows]\nidle_timeout = 1s", "[flows] idle_timeout: 1s is out of range (10s to 24h)"),
+		Entry("no duration", &balancer, "\n[flows]\nidle_timeout = 10", `[flows] idle_timeout: "10" is not a duration such as 500ms or 30s`),
+		Entry("rate that is no number", &balancer, "\n[platform]\nread_budget_per_second = NaN", "[platform] read_budget_per_second: NaN is out of range (0.01 to 100)"),
+		Entry("size above its range", &agent, "\n[requests]\nrecord_bytes = 17MiB", "[requests] record_bytes: 17MiB is out of range (0 to 16MiB)"),
+		Entry("unknown choice", &balancer, "\n[log]\nlevel = loud", `[log] level: "loud" is not one of: debug, info, warning, error`),
+		Entry("empty value", &balancer, "\n[log]\nlevel =", "[log] level: has no value"),
+		Entry("bare key", &balancer, "\n[log]\nlevel", "[log] level: has no value"),
+		Entry("missing file", &balancer, "\n[trust]\ndatagram_key_previous_file = absent", "[trust] datagram_key_previous_file: open testdata/absent: no such file or directory"),
+		Entry("directory for a file", &balancer, "\n[trust]\ndatagram_key_previous_file = .", "[trust] datagram_key_previous_file: testdata is not a regular file of 1 byte to 1MiB"),
+		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
+		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
+	)
+
+	It("has defaults that parse, for both roles", func() {
+		for _, r := range []currantturn.Role{currantturn.RoleBalancer, currantturn.RoleAgent} {
+			Expect(func() { settings.Default(r) }).NotTo(Panic())
+		}
+	})
+})
+
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"balancer", "agent", "five_mistakes", "many_mistakes"} {
+		data, err := os.ReadFile("testdata/" + name + ".ini")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		o, err := settings.Parse("testdata/x.ini", data)
+		if (o == nil) == (err == nil) {
+			t.Fatalf("options %v with error %v", o, err)
+		}
+	})
+}
