--- /dev/null
+++ b/internal/metric/doc.go
@@ -0,0 +1,3 @@
+// Package metric publishes the counters of the subsystems through expvar and
+// summarises latencies.
+package metric
--- a/internal/settings/parser.go
+++ b/internal/settings/parser.go
@@ -223,17 +223,16 @@
 }
 
 func checkFile(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	info, err := f.Stat()
+	info, err := os.Stat(path)
 	if err != nil {
 		return err
 	}
 	if !info.Mode().IsRegular() || info.Size() == 0 || info.Size() > maxNamedFileBytes {
 		return fmt.Errorf("%s is not a regular file of 1 byte to %s", path, formatSize(maxNamedFileBytes))
 	}
-	return nil
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return f.Close()
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -113,7 +113,7 @@
 		Entry("unknown choice", &balancer, "\n[log]\nlevel = loud", `[log] level: "loud" is not one of: debug, info, warning, error`),
 		Entry("empty value", &balancer, "\n[log]\nlevel =", "[log] level: has no value"),
 		Entry("bare key", &balancer, "\n[log]\nlevel", "[log] level: has no value"),
-		Entry("missing file", &balancer, "\n[trust]\ndatagram_key_previous_file = absent", "[trust] datagram_key_previous_file: open testdata/absent: no such file or directory"),
+		Entry("missing file", &balancer, "\n[trust]\ndatagram_key_previous_file = absent", "[trust] datagram_key_previous_file: stat testdata/absent: no such file or directory"),
 		Entry("directory for a file", &balancer, "\n[trust]\ndatagram_key_previous_file = .", "[trust] datagram_key_previous_file: testdata is not a regular file of 1 byte to 1MiB"),
 		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
