--- /dev/null
+++ b/internal/try/certificate.go
@@ -0,0 +1,32 @@
+package try
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+type plainSealer struct{}
+
+func (plainSealer) Seal(dst, p []byte) []byte { return append(dst, p...) }
+
+func (plainSealer) Open(_ time.Time, p []byte) ([]byte, error) { return p, nil }
+
+func throwAwayTLS() (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a key")
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(24 * time.Hour), DNSNames: []string{"try"}}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}, nil
+}
--- /dev/null
+++ b/internal/try/site.go
@@ -0,0 +1,229 @@
+package try
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/standin/backend"
+	"github.com/currantturn/currantturn/internal/standin/fabric"
+	"github.com/currantturn/currantturn/internal/transport/entry"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// site is a running deployment.
+type site struct {
+	plan      Deployment
+	fabric    *fabric.Fabric
+	tls       *tls.Config
+	key       rank.Key
+	mu        sync.Mutex
+	services  []currantturn.Service
+	version   currantturn.Version
+	balancers []*door
+	hosts     []*host
+	started   int // balancers started so far
+}
+
+// door is a balancer and the address at which the fabric reaches it.
+type door struct {
+	name     string
+	entry    netip.AddrPort
+	balancer *core.Balancer
+}
+
+// host is a backend server and the agent beside it.
+type host struct {
+	id      currantturn.BackendID
+	service currantturn.ServiceName
+	slots   int
+	backend *backend.Backend
+	agent   *core.Agent
+}
+
+func startSite(plan Deployment, seed uint64) (*site, error) {
+	f, err := fabric.New(fabric.Options{Seed: seed, Delay: 2 * plan.Callers})
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := throwAwayTLS()
+	if err != nil {
+		return nil, err
+	}
+	s := &site{plan: plan, fabric: f, tls: cfg, key: rank.Key{K0: seed, K1: ^seed}}
+	for _, p := range plan.Services {
+		if err := s.startService(p); err != nil {
+			return nil, err
+		}
+	}
+	for range plan.Balancers {
+		if _, err := s.startBalancer(); err != nil {
+			return nil, err
+		}
+	}
+	s.publish(func([]currantturn.Service) {})
+	s.spray()
+	return s, nil
+}
+
+func (s *site) startService(p ServicePlan) error {
+	address, err := s.fabric.AddService()
+	if err != nil {
+		return err
+	}
+	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}}
+	for i := range p.Backends {
+		h, err := s.startHost(p, i)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+		service.Backends = append(service.Backends, currantturn.BackendServer{
+			ID:            h.id,
+			FailureDomain: s.domain(i),
+			Agent:         h.agent.Link(),
+			Slots:         p.Slots,
+			Weight:        p.Slots,
+			State:         currantturn.BackendActive,
+		})
+	}
+	s.services = append(s.services, service)
+	return nil
+}
+
+func (s *site) domain(i int) currantturn.FailureDomain {
+	return s.plan.Domains[i%len(s.plan.Domains)]
+}
+
+func (s *site) startHost(p ServicePlan, i int) (*host, error) {
+	id := currantturn.BackendID(fmt.Sprintf("%s-%d", p.Name, i+1))
+	b, err := backend.Start(backend.Options{Name: string(id), Slots: p.Slots, Work: p.Work})
+	if err != nil {
+		return nil, err
+	}
+	a, err := core.StartAgent(core.AgentOptions{
+		ID:        id,
+		Service:   p.Name,
+		Domain:    s.domain(i),
+		Link:      loopback,
+		Backend:   b.Addr(),
+		CallerTLS: s.tls,
+		ResetKey:  [32]byte{1},
+		Sealer:    plainSealer{},
+		Key:       s.key,
+		Clock:     time.Now,
+		Report:    func(currantturn.Event) {},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &host{id: id, service: p.Name, slots: p.Slots, backend: b, agent: a}, nil
+}
+
+func (s *site) startBalancer() (*door, error) {
+	e, err := entry.OpenProxy(loopback, s.fabric.Addr())
+	if err != nil {
+		return nil, err
+	}
+	s.started++
+	name := fmt.Sprintf("entry-%d", s.started)
+	b, err := core.StartBalancer(core.BalancerOptions{
+		Name:   currantturn.VMName(name),
+		Domain: s.domain(s.started - 1),
+		Link:   loopback,
+		Entry:  e,
+		Sealer: plainSealer{},
+		Key:    s.key,
+		Clock:  time.Now,
+		Report: func(currantturn.Event) {},
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &door{name: name, entry: e.Addr(), balancer: b}
+	s.balancers = append(s.balancers, d)
+	return d, nil
+}
+
+// spray tells the fabric which balancers there are.
+func (s *site) spray() {
+	entries := make([]netip.AddrPort, 0, len(s.balancers))
+	for _, d := range s.balancers {
+		entries = append(entries, d.entry)
+	}
+	s.fabric.SetBalancers(entries)
+}
+
+// publish puts a changed copy of the configuration in force everywhere.
+func (s *site) publish(change func([]currantturn.Service)) {
+	next := make([]currantturn.Service, len(s.services))
+	for i, old := range s.services {
+		next[i] = old
+		next[i].Backends = append([]currantturn.BackendServer(nil), old.Backends...)
+	}
+	change(next)
+	s.services = next
+	s.version++
+	v := currantturn.NewView(s.version, next)
+	for _, h := range s.hosts {
+		h.agent.Configure(v)
+	}
+	for _, d := range s.balancers {
+		d.balancer.Configure(v)
+	}
+}
+
+// replaceBalancer stops the oldest balancer as planned and starts another.
+func (s *site) replaceBalancer() error {
+	if _, err := s.startBalancer(); err != nil {
+		return err
+	}
+	s.publish(func([]currantturn.Service) {})
+	old := s.balancers[0]
+	s.balancers = s.balancers[1:]
+	s.spray()
+	time.Sleep(fabricSettle)
+	return old.balancer.Close()
+}
+
+// setState changes the state of one backend server by a patch.
+func (s *site) setState(id currantturn.BackendID, state currantturn.BackendState) {
+	s.publish(func(services []currantturn.Service) {
+		for i := range services {
+			if b := services[i].Backend(id); b != nil {
+				b.State = state
+			}
+		}
+	})
+}
+
+func (s *site) address(name currantturn.ServiceName) netip.AddrPort {
+	for _, service := range s.services {
+		if service.Name == name {
+			return service.Addresses[0]
+		}
+	}
+	return netip.AddrPort{}
+}
+
+func (s *site) close(ctx context.Context) error {
+	var first error
+	for _, h := range s.hosts {
+		if err := h.agent.Shutdown(ctx); err != nil && first == nil {
+			first = err
+		}
+		_ = h.backend.Close()
+	}
+	for _, d := range s.balancers {
+		_ = d.balancer.Close()
+	}
+	_ = s.fabric.Close()
+	return first
+}
