Require a meaning for every counter and state those of the link

A page of bare names helps no operator; the test now fails for a field of a Counters type without a json name or a comment (seen to fail for link).

--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -92,6 +92,9 @@
 	for _, s := range subsystems {
 		fmt.Fprintf(&b, "\n## %s\n\n| Name | Meaning |\n|---|---|\n", s)
 		for _, c := range all[s] {
+			if c.name == "" || c.meaning == "" {
+				t.Errorf("a field of %s.Counters (%q) lacks its json name or a comment with its meaning", s, c.name)
+			}
 			fmt.Fprintf(&b, "| %s.%s | %s |\n", s, c.name, c.meaning)
 		}
 	}
--- a/internal/transport/link/counters.go
+++ b/internal/transport/link/counters.go
@@ -24,15 +24,15 @@
 
 // Counters are a link's totals since its start.
 type Counters struct {
-	Sent            uint64                       `json:"sent"`
-	Received        uint64                       `json:"received"`
-	SendErrors      uint64                       `json:"send_errors"`
-	ReadErrors      uint64                       `json:"read_errors"`
-	Malformed       uint64                       `json:"malformed"`
-	Unauthenticated uint64                       `json:"unauthenticated"`
-	Replayed        uint64                       `json:"replayed"`
-	Renewed         uint64                       `json:"renewed"`
-	Control         map[currantturn.Kind]Traffic `json:"control"`
+	Sent            uint64                       `json:"sent"`            // datagrams sent
+	Received        uint64                       `json:"received"`        // authentic datagrams received
+	SendErrors      uint64                       `json:"send_errors"`     // datagrams that the socket refused to send
+	ReadErrors      uint64                       `json:"read_errors"`     // failed reads of the socket
+	Malformed       uint64                       `json:"malformed"`       // datagrams dropped because they do not decode
+	Unauthenticated uint64                       `json:"unauthenticated"` // datagrams dropped because their authenticator does not match
+	Replayed        uint64                       `json:"replayed"`        // datagrams dropped because they were seen before
+	Renewed         uint64                       `json:"renewed"`         // sockets replaced by fresh ones
+	Control         map[currantturn.Kind]Traffic `json:"control"`         // control messages and bytes sent, by kind
 }
 
 func (c *counts) control(k currantturn.Kind, bytes int) {
