Serve the read-only administration API over mutual TLS

Cause: operators need version, verdicts, members, flows, audit trail and a dry run of a patch from a running process, without a way to change it. Providers are functions, so the API imports no machine. A server without verified client certificates is refused unless asked for on loopback; refused handshakes become events; files are read at each handshake, so a rotation needs no restart. Connections, headers, bodies, lists and times are bounded. Ruled out: reading the files once with a reload timer, as handshakes of operators are rare.

--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,223 @@
+package admin_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/admin"
+	"github.com/currantturn/currantturn/internal/audit"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestAdmin(t *testing.T) { suite.Run(t, "admin") }
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	start    = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+)
+
+func status() admin.Status {
+	return admin.Status{
+		Name: "verify-1", Role: currantturn.RoleAgent, FailureDomain: "upanga", Release: "0.1.0",
+		Started: start, Uptime: 90 * time.Second, Serving: true,
+		Configuration: admin.Configuration{Version: 7, HighestHeard: 8, Digest: "00ff", InForce: start, LastRead: start},
+		Members:       map[string]int{"suspect": 1, "alive": 6},
+		Flows:         2000,
+		Requests:      &admin.Requests{Slots: 3, Running: 2, Queued: 1, Records: 40},
+	}
+}
+
+func providers() admin.Providers {
+	return admin.Providers{
+		Status: status,
+		Verdicts: func(limit int) []admin.Verdict {
+			return []admin.Verdict{{Position: uint64(limit), Author: "asha", Published: start, Verdict: audit.Rejected, Reason: "no such service"}}
+		},
+		Members: func(int) []admin.Member {
+			return []admin.Member{{
+				Name: "verify-2", Role: currantturn.RoleAgent, FailureDomain: "upanga",
+				Link: netip.MustParseAddrPort("192.0.2.2:7000"), State: "alive", Incarnation: 3, Since: start,
+			}}
+		},
+		Flows: func(int) []admin.BackendFlows { return nil },
+		Audit: audit.NewTrail(nil, "verify-1", 4).Entries,
+		DryRun: func(_ context.Context, against currantturn.Version, patch []byte) (admin.DryRun, error) {
+			if len(patch) == 0 {
+				return admin.DryRun{}, fmt.Errorf("empty patch")
+			}
+			return admin.DryRun{Accepted: true, Version: against + 1, Changes: []string{"backend server verify-1 drains"}}, nil
+		},
+		Metrics: metric.NewRegistry(),
+	}
+}
+
+// serve starts a server that ends with the spec and returns its address.
+func serve(opts admin.Options) netip.AddrPort {
+	GinkgoHelper()
+	opts.Address = loopback
+	s, err := admin.Listen(opts)
+	Expect(err).NotTo(HaveOccurred())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	DeferCleanup(func() {
+		Expect(s.Shutdown(context.Background())).To(Succeed())
+		Expect(<-done).NotTo(HaveOccurred())
+	})
+	return s.Address()
+}
+
+func request(address netip.AddrPort, method, path, body string) (int, string) {
+	GinkgoHelper()
+	r, err := http.NewRequest(method, "http://"+address.String()+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	w, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer w.Body.Close()
+	text, err := io.ReadAll(w.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return w.StatusCode, string(text)
+}
+
+func TestStatusText(t *testing.T) {
+	var b bytes.Buffer
+	s := status()
+	if err := s.WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "status_text", b.Bytes())
+}
+
+var _ = Describe("resources", func() {
+	It("answers each by its golden body", func() {
+		address := serve(admin.Options{Insecure: true, Providers: providers()})
+		g := goldie.New(GinkgoTB())
+		for name, path := range map[string]string{
+			"status": admin.PathStatus, "version": admin.PathVersion, "verdicts": admin.PathVerdicts + "?limit=7",
+			"members": admin.PathMembers, "flows": admin.PathFlows, "audit": admin.PathAudit,
+		} {
+			code, body := request(address, http.MethodGet, path, "")
+			Expect(code).To(Equal(http.StatusOK), path)
+			g.Assert(GinkgoTB(), name, []byte(body))
+		}
+		code, body := request(address, http.MethodPost, admin.PathDryRun+"?against=7", "{}")
+		Expect(code).To(Equal(http.StatusOK))
+		g.Assert(GinkgoTB(), "dry_run", []byte(body))
+		code, body = request(address, http.MethodGet, admin.PathMetrics, "")
+		Expect(code).To(Equal(http.StatusOK))
+		Expect(body).To(ContainSubstring(`"currantturn"`))
+	})
+
+	DescribeTable("refuses", func(method, path, body string, code int, text string) {
+		address := serve(admin.Options{Insecure: true, Providers: providers()})
+		got, answer := request(address, method, path, body)
+		Expect(got).To(Equal(code))
+		Expect(answer).To(ContainSubstring(text))
+	},
+		Entry("a write", http.MethodPost, admin.PathStatus, "", http.StatusMethodNotAllowed, ""),
+		Entry("a dry run by GET", http.MethodGet, admin.PathDryRun, "", http.StatusMethodNotAllowed, ""),
+		Entry("an unknown path", http.MethodGet, "/v1/other", "", http.StatusNotFound, ""),
+		Entry("a limit of zero", http.MethodGet, admin.PathAudit+"?limit=0", "", http.StatusBadRequest, "bad_limit"),
+		Entry("a huge limit", http.MethodGet, admin.PathMembers+"?limit=20001", "", http.StatusBadRequest, "bad_limit"),
+		Entry("a dry run without version", http.MethodPost, admin.PathDryRun, "{}", http.StatusBadRequest, "bad_version"),
+		Entry("a patch that does not decode", http.MethodPost, admin.PathDryRun+"?against=1", "", http.StatusBadRequest, "bad_patch"),
+		Entry("a patch above its bound", http.MethodPost, admin.PathDryRun+"?against=1", strings.Repeat("x", 1<<20+1),
+			http.StatusRequestEntityTooLarge, "too_large"),
+	)
+
+	It("says what it does not provide", func() {
+		address := serve(admin.Options{Insecure: true})
+		for _, path := range []string{admin.PathStatus, admin.PathVersion, admin.PathMembers, admin.PathMetrics} {
+			code, body := request(address, http.MethodGet, path, "")
+			Expect(code).To(Equal(http.StatusNotImplemented), path)
+			Expect(body).To(ContainSubstring("not_provided"))
+		}
+	})
+
+	It("is read by its client", func() {
+		c := admin.NewClient(serve(admin.Options{Insecure: true, Providers: providers()}), nil)
+		s, err := c.Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s).To(Equal(status()))
+		m, err := c.Members(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m).To(HaveLen(1))
+		_, err = admin.NewClient(serve(admin.Options{Insecure: true}), nil).Status(context.Background())
+		Expect(err).To(MatchError(currantturn.ErrUnavailable))
+	})
+})
+
+var _ = Describe("mutual TLS", func() {
+	It("is not left out by accident", func() {
+		for _, opts := range []admin.Options{
+			{Address: loopback},
+			{Address: loopback, TLS: &tls.Config{}},
+			{Address: netip.MustParseAddrPort("0.0.0.0:0"), Insecure: true},
+		} {
+			_, err := admin.Listen(opts)
+			Expect(err).To(MatchError(admin.ErrInsecure))
+		}
+	})
+
+	It("admits certificates of its authority only, and reports the others", func() {
+		fleet, other := newAuthority(), newAuthority()
+		files := fleet.issue("server")
+		cfg, err := files.ServerTLS()
+		Expect(err).NotTo(HaveOccurred())
+		refused := make(chan currantturn.Event, 8)
+		address := serve(admin.Options{TLS: cfg, Providers: providers(), Report: func(e currantturn.Event) { refused <- e }})
+
+		read := func(cfg *tls.Config) error {
+			_, err := admin.NewClient(address, cfg).Status(context.Background())
+			return err
+		}
+		operator := fleet.issue("operator")
+		good, err := operator.ClientTLS()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(good)).To(Succeed())
+
+		anonymous := good.Clone()
+		anonymous.Certificates = nil
+		Expect(read(anonymous)).To(MatchError(currantturn.ErrUnavailable))
+		foreign, err := other.issue("operator").ClientTLS()
+		Expect(err).NotTo(HaveOccurred())
+		foreign.RootCAs = good.RootCAs
+		Expect(read(foreign)).To(MatchError(currantturn.ErrUnavailable))
+		Expect(read(nil)).To(MatchError(currantturn.ErrUnavailable))
+		for range 2 {
+			e := <-refused
+			Expect(e.Number).To(Equal(event.AdminRefused))
+			Expect(event.Check(e)).To(Succeed())
+		}
+
+		By("using files replaced since its start")
+		other.replace(files)
+		Expect(read(good)).To(MatchError(currantturn.ErrUnavailable))
+		renewed, err := other.issue("operator").ClientTLS()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(renewed)).To(Succeed())
+	})
+
+	It("names the file that does not load", func() {
+		files := newAuthority().issue("server")
+		files.CAFile = files.KeyFile
+		_, err := files.ServerTLS()
+		Expect(err).To(MatchError(currantturn.ErrMalformed))
+		files.CertificateFile = "absent.pem"
+		_, err = files.ClientTLS()
+		Expect(err).To(MatchError(ContainSubstring("absent.pem")))
+	})
+})
--- /dev/null
+++ b/internal/admin/constants.go
@@ -0,0 +1,30 @@
+package admin
+
+import "time"
+
+// Bounds of the API.
+const (
+	maxConnections    = 16
+	maxHeaderBytes    = 16 << 10
+	maxPatchBytes     = 1 << 20
+	maxResponseBytes  = 16 << 20
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 10 * time.Second
+	writeTimeout      = 30 * time.Second
+	idleTimeout       = time.Minute
+	clientTimeout     = 10 * time.Second
+	defaultLimit      = 1000
+	maxLimit          = 20000
+)
+
+// Paths of the API.
+const (
+	PathStatus   = "/v1/status"
+	PathVersion  = "/v1/version"
+	PathVerdicts = "/v1/verdicts"
+	PathMembers  = "/v1/members"
+	PathFlows    = "/v1/flows"
+	PathAudit    = "/v1/audit"
+	PathDryRun   = "/v1/patch/dry_run"
+	PathMetrics  = "/debug/vars"
+)
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,110 @@
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
+)
+
+// ErrInsecure reports a server without mutual TLS that was not asked for.
+var ErrInsecure = errors.New("administration API without mutual TLS")
+
+// Options are the parts of a server.
+type Options struct {
+	Address   netip.AddrPort
+	TLS       *tls.Config // must require and verify client certificates
+	Insecure  bool        // serves without TLS, on loopback only
+	Providers Providers
+	Report    func(currantturn.Event)
+}
+
+// Server serves the administration API.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	report   func(currantturn.Event)
+}
+
+// Listen binds the API's address.
+func Listen(opts Options) (*Server, error) {
+	if err := checkTLS(&opts); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", opts.Address.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "administration API")
+	}
+	l = netutil.LimitListener(l, maxConnections)
+	if !opts.Insecure {
+		l = tls.NewListener(l, opts.TLS)
+	}
+	return &Server{listener: l, http: newHTTPServer(&opts), report: opts.Report}, nil
+}
+
+func checkTLS(opts *Options) error {
+	if opts.Insecure {
+		if !opts.Address.Addr().IsLoopback() {
+			return eris.Wrapf(ErrInsecure, "%s is not a loopback address", opts.Address)
+		}
+		return nil
+	}
+	if opts.TLS == nil || opts.TLS.ClientAuth != tls.RequireAndVerifyClientCert {
+		return eris.Wrap(ErrInsecure, "client certificates are not verified")
+	}
+	return nil
+}
+
+func newHTTPServer(opts *Options) *http.Server {
+	return &http.Server{
+		Handler:           newHandler(&opts.Providers),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(refusals{opts.Report}, "", 0),
+	}
+}
+
+// refusals turns the HTTP server's complaints into events.
+type refusals struct {
+	report func(currantturn.Event)
+}
+
+// Write reports one complaint, such as a failed handshake.
+func (r refusals) Write(p []byte) (int, error) {
+	if r.report != nil {
+		reason := strings.TrimSpace(string(p))
+		r.report(currantturn.Event{Number: event.AdminRefused, Fields: []currantturn.Field{event.F("reason", reason)}})
+	}
+	return len(p), nil
+}
+
+// Address returns the address in use.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Serve answers until Shutdown.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "administration API")
+}
+
+// Shutdown ends the server after the answers in progress, or with the context.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
