--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -52,7 +52,7 @@
 	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
 	l.Start(n, linkReaders)
 	go n.tick(ctx)
-	go b.read(ctx)
+	go b.serve()
 	return b, nil
 }
 
@@ -77,14 +77,10 @@
 	return err
 }
 
-func (b *Balancer) read(ctx context.Context) {
+func (b *Balancer) serve() {
 	defer close(b.done)
-	var e currantturn.Envelope
-	for ctx.Err() == nil {
-		e = currantturn.Envelope{Direction: currantturn.ToBackend}
-		if err := b.entry.Read(ctx, &e.Packet); err != nil {
-			continue
-		}
+	_ = b.entry.Serve(func(p *currantturn.Packet) {
+		e := currantturn.Envelope{Direction: currantturn.ToBackend, Packet: *p}
 		b.node.ReceiveEnvelope(netip.AddrPort{}, &e)
-	}
+	})
 }
--- a/internal/transport/entry/direct.go
+++ b/internal/transport/entry/direct.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -10,37 +9,39 @@
 	"github.com/rotisserie/eris"
 )
 
-const directQueue = 1024 // packets read and not yet taken
-
 // Direct is an entry on a VM that holds the service addresses itself, where
 // the fabric leaves the caller's source address in place.
 type Direct struct {
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*net.UDPConn
-	queue chan currantturn.Packet
-	done  chan struct{}
-	once  sync.Once
+	mu     sync.RWMutex
+	conns  map[netip.AddrPort]*net.UDPConn
+	take   func(*currantturn.Packet) // nil before Serve
+	done   chan struct{}
+	closed bool
 }
 
 // OpenDirect returns an entry that listens nowhere yet; see Listen.
 func OpenDirect() *Direct {
 	return &Direct{
 		conns: make(map[netip.AddrPort]*net.UDPConn),
-		queue: make(chan currantturn.Packet, directQueue),
 		done:  make(chan struct{}),
 	}
 }
 
 // Listen opens the sockets of the given service addresses that are not open
-// yet, and closes those of addresses that are no longer given.
+// yet, and closes those of addresses that are no longer given; it tries them
+// all and returns the first error.
 func (d *Direct) Listen(addresses []netip.AddrPort) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		return net.ErrClosed
+	}
 	wanted := make(map[netip.AddrPort]bool, len(addresses))
+	var first error
 	for _, a := range addresses {
 		wanted[a] = true
-		if err := d.open(a); err != nil {
-			return err
+		if err := d.open(a); err != nil && first == nil {
+			first = err
 		}
 	}
 	for a, conn := range d.conns {
@@ -49,63 +50,57 @@
 			delete(d.conns, a)
 		}
 	}
-	return nil
+	return first
 }
 
 func (d *Direct) open(a netip.AddrPort) error {
 	if d.conns[a] != nil {
 		return nil
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	conn, err := listen(a)
 	if err != nil {
 		return eris.Wrapf(err, "bind service address %s", a)
 	}
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
 	d.conns[a] = conn
-	go d.read(a, conn)
+	if d.take != nil {
+		go d.read(a, conn)
+	}
 	return nil
 }
 
 func (d *Direct) read(service netip.AddrPort, conn *net.UDPConn) {
 	buf := make([]byte, maxDatagramBytes)
+	var p currantturn.Packet
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return
 		}
-		payload := append([]byte(nil), buf[:n]...)
-		caller := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		p := currantturn.Packet{
-			Flow:    currantturn.FlowKey{Caller: caller, Service: service},
-			Mark:    MarkOf(payload),
-			Payload: payload,
-		}
-		select {
-		case d.queue <- p:
-		case <-d.done:
-			return
-		}
+		p.Flow.Caller = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		p.Flow.Service = service
+		p.Payload = buf[:n]
+		p.Mark = MarkOf(p.Payload)
+		d.take(&p)
 	}
 }
 
-// Read waits for the next caller's packet at any of the addresses.
-func (d *Direct) Read(ctx context.Context, p *currantturn.Packet) error {
-	select {
-	case *p = <-d.queue:
-		return nil
-	case <-d.done:
-		return net.ErrClosed
-	case <-ctx.Done():
-		return ctx.Err()
+// Serve reads every socket, also those that a later Listen opens, until Close.
+func (d *Direct) Serve(take func(*currantturn.Packet)) error {
+	d.mu.Lock()
+	d.take = take
+	for a, conn := range d.conns {
+		go d.read(a, conn)
 	}
+	d.mu.Unlock()
+	<-d.done
+	return nil
 }
 
 // Write sends an answer from the service's address.
 func (d *Direct) Write(p *currantturn.Packet) error {
-	d.mu.Lock()
+	d.mu.RLock()
 	conn := d.conns[p.Flow.Service]
-	d.mu.Unlock()
+	d.mu.RUnlock()
 	if conn == nil {
 		return eris.Wrapf(currantturn.ErrUnavailable, "no socket for service address %s", p.Flow.Service)
 	}
@@ -113,8 +108,17 @@
 	return eris.Wrap(err, "write to the caller")
 }
 
-// Close ends pending reads and closes all sockets.
+// Close ends Serve and closes all sockets.
 func (d *Direct) Close() error {
-	d.once.Do(func() { close(d.done) })
-	return d.Listen(nil)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil
+	}
+	d.closed = true
+	close(d.done)
+	for _, conn := range d.conns {
+		_ = conn.Close()
+	}
+	return nil
 }
--- a/internal/transport/entry/proxy.go
+++ b/internal/transport/entry/proxy.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 
 	"github.com/currantturn/currantturn"
 	"github.com/pires/go-proxyproto"
@@ -15,24 +17,35 @@
 const (
 	maxDatagramBytes  = 2048
 	socketBufferBytes = 4 << 20
+	// proxyReaders is how many goroutines read the fabric's datagrams.
+	proxyReaders = 2
 )
 
 // Proxy is an entry behind a fabric that prepends PROXY protocol v2 headers.
 type Proxy struct {
-	conn   *net.UDPConn
-	fabric netip.AddrPort
-	buf    []byte
+	conn      *net.UDPConn
+	fabric    netip.AddrPort
+	malformed atomic.Uint64
 }
 
 // OpenProxy listens for the fabric's datagrams and sends answers to it.
-func OpenProxy(listen, fabric netip.AddrPort) (*Proxy, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+func OpenProxy(at, fabric netip.AddrPort) (*Proxy, error) {
+	conn, err := listen(at)
 	if err != nil {
-		return nil, eris.Wrapf(err, "bind entry address %s", listen)
+		return nil, eris.Wrapf(err, "bind entry address %s", at)
 	}
+	return &Proxy{conn: conn, fabric: fabric}, nil
+}
+
+func listen(at netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel may grant less; that only costs packets under bursts.
 	_ = conn.SetReadBuffer(socketBufferBytes)
 	_ = conn.SetWriteBuffer(socketBufferBytes)
-	return &Proxy{conn: conn, fabric: fabric, buf: make([]byte, maxDatagramBytes)}, nil
+	return conn, nil
 }
 
 // Addr is the address that the fabric sends to.
@@ -40,16 +53,40 @@
 	return x.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Read waits for the next well-formed datagram of the fabric.
-func (x *Proxy) Read(ctx context.Context, p *currantturn.Packet) error {
-	n, _, err := x.conn.ReadFromUDPAddrPort(x.buf)
-	if err != nil {
-		if ctx.Err() != nil {
-			return ctx.Err()
+// Serve hands over well-formed datagrams of the fabric until Close.
+func (x *Proxy) Serve(take func(*currantturn.Packet)) error {
+	var readers sync.WaitGroup
+	for range proxyReaders {
+		readers.Go(func() { x.read(take) })
+	}
+	readers.Wait()
+	return nil
+}
+
+func (x *Proxy) read(take func(*currantturn.Packet)) {
+	buf := make([]byte, maxDatagramBytes)
+	var p currantturn.Packet
+	for {
+		n, source, err := x.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-		return eris.Wrap(err, "read from the fabric")
+		if err != nil || !x.fromFabric(source) || ParseProxied(buf[:n], &p) != nil {
+			x.malformed.Add(1)
+			continue
+		}
+		take(&p)
 	}
-	return ParseProxied(x.buf[:n], p)
+}
+
+// fromFabric refuses datagrams of others, who could name any caller.
+func (x *Proxy) fromFabric(source netip.AddrPort) bool {
+	return source.Addr().Unmap() == x.fabric.Addr().Unmap() && source.Port() == x.fabric.Port()
+}
+
+// Malformed is how many datagrams were refused.
+func (x *Proxy) Malformed() uint64 {
+	return x.malformed.Load()
 }
 
 // Write hands an answer to the fabric.
@@ -62,7 +99,7 @@
 	return eris.Wrap(err, "write to the fabric")
 }
 
-// Close ends pending reads.
+// Close ends Serve.
 func (x *Proxy) Close() error {
 	return x.conn.Close()
 }
