--- a/internal/protocol/seal/counters.go
+++ b/internal/protocol/seal/counters.go
@@ -9,17 +9,17 @@
 
 // Counters are a sealer's totals since its start.
 type Counters struct {
-	Sealed      uint64 `json:"sealed"`
-	Opened      uint64 `json:"opened"`
-	Malformed   uint64 `json:"malformed"`
-	UnknownKey  uint64 `json:"unknown_key"`
-	Forged      uint64 `json:"forged"`
-	Replayed    uint64 `json:"replayed"`
-	Stale       uint64 `json:"stale"`        // stamped too far from the clock
-	BeforeStart uint64 `json:"before_start"` // stamped before what is remembered of its sender
-	Throttled   uint64 `json:"throttled"`    // above DerivationsPerSecond
-	Rotations   uint64 `json:"rotations"`
-	Senders     int    `json:"senders"`
+	Sealed      uint64 `json:"sealed"`       // datagrams sealed
+	Opened      uint64 `json:"opened"`       // authentic datagrams opened
+	Malformed   uint64 `json:"malformed"`    // datagrams too short or of another format
+	UnknownKey  uint64 `json:"unknown_key"`  // datagrams under a key that is not valid
+	Forged      uint64 `json:"forged"`       // datagrams whose check or tag does not match
+	Replayed    uint64 `json:"replayed"`     // datagrams whose counter was accepted before or is below the window
+	Stale       uint64 `json:"stale"`        // datagrams stamped too far from the clock
+	BeforeStart uint64 `json:"before_start"` // datagrams stamped before what is remembered of their sender
+	Throttled   uint64 `json:"throttled"`    // datagrams of unknown senders above the limit of key derivations
+	Rotations   uint64 `json:"rotations"`    // key rings put in force
+	Senders     int    `json:"senders"`      // senders whose window is kept at present
 }
 
 // Counters returns the totals so far.
