--- /dev/null
+++ b/internal/transport/probe/probe_test.go
@@ -0,0 +1,50 @@
+package probe_test
+
+import (
+	"context"
+	"net/url"
+	"testing"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/health"
+	"github.com/currantturn/currantturn/internal/standin/backend"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/probe"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestProbe(t *testing.T) { suite.Run(t, "probe") }
+
+var _ = Describe("the prober", func() {
+	It("follows a backend server from good over draining to gone", func(ctx context.Context) {
+		b, err := backend.Start(backend.Options{Name: "verify-1", Slots: 3, LoadLie: 7})
+		Expect(err).NotTo(HaveOccurred())
+		base := "http://" + b.Addr().String()
+		p := probe.New(parse(base+"/health"), parse(base+"/load"))
+		Expect(p.Health(ctx)).To(Equal(health.Good))
+		Expect(p.Load(ctx)).To(Equal(7))
+		b.Drain()
+		Expect(p.Health(ctx)).To(Equal(health.Draining))
+		Expect(b.Close()).To(Succeed())
+		Expect(p.Health(ctx)).To(Equal(health.Failed))
+		_, err = p.Load(ctx)
+		Expect(err).To(MatchError(currantturn.ErrUnavailable))
+	})
+
+	It("refuses a load that is none", func(ctx context.Context) {
+		b, err := backend.Start(backend.Options{Name: "verify-1", Slots: 3})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(b.Close)
+		p := probe.New(nil, parse("http://"+b.Addr().String()+"/health"))
+		_, err = p.Load(ctx)
+		Expect(err).To(MatchError(currantturn.ErrMalformed))
+		Expect(p.HasHealth()).To(BeFalse())
+	})
+})
+
+func parse(s string) *url.URL {
+	u, err := url.Parse(s)
+	Expect(err).NotTo(HaveOccurred())
+	return u
+}
