--- /dev/null
+++ b/pkg/patch/diff.go
@@ -0,0 +1,166 @@
+package patch
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/currantturn/currantturn"
+)
+
+// Action says what happens to the subject of a change.
+type Action string
+
+// Actions of a change.
+const (
+	Added   Action = "added"
+	Removed Action = "removed"
+	Changed Action = "changed"
+)
+
+// Change is one difference between two configurations.
+type Change struct {
+	Action  Action                  `json:"action"`
+	Service currantturn.ServiceName `json:"service"`
+	Backend currantturn.BackendID   `json:"backend_server,omitempty"`
+	Field   string                  `json:"field,omitempty"`
+	From    string                  `json:"from,omitempty"`
+	To      string                  `json:"to,omitempty"`
+}
+
+// Diff lists the changes by service, then by backend server.
+type Diff []Change
+
+// Compare returns what changes from one configuration to another; both are
+// sorted by name.
+func Compare(from, to []currantturn.Service) Diff {
+	var d Diff
+	merge(from, to, func(a, b *currantturn.Service) int { return compare(a.Name, b.Name) }, func(a, b *currantturn.Service) {
+		switch {
+		case a == nil:
+			d = append(d, Change{Action: Added, Service: b.Name, To: describeService(b)})
+		case b == nil:
+			d = append(d, Change{Action: Removed, Service: a.Name, From: describeService(a)})
+		default:
+			d = d.service(a, b)
+		}
+	})
+	return d
+}
+
+// merge walks two sorted slices and gives each pair that has the same key.
+func merge[T any](from, to []T, order func(a, b *T) int, pair func(a, b *T)) {
+	i, j := 0, 0
+	for i < len(from) || j < len(to) {
+		c := 0
+		switch {
+		case i == len(from):
+			c = 1
+		case j == len(to):
+			c = -1
+		default:
+			c = order(&from[i], &to[j])
+		}
+		switch {
+		case c < 0:
+			pair(&from[i], nil)
+			i++
+		case c > 0:
+			pair(nil, &to[j])
+			j++
+		default:
+			pair(&from[i], &to[j])
+			i++
+			j++
+		}
+	}
+}
+
+func (d Diff) service(a, b *currantturn.Service) Diff {
+	d = d.field(a.Name, "", "addresses", fmt.Sprint(a.Addresses), fmt.Sprint(b.Addresses))
+	for _, r := range limitRanges {
+		d = d.field(a.Name, "", "limits."+r.field, strconv.Itoa(*r.get(&a.Limits)), strconv.Itoa(*r.get(&b.Limits)))
+	}
+	order := func(x, y *currantturn.BackendServer) int { return compare(x.ID, y.ID) }
+	merge(a.Backends, b.Backends, order, func(x, y *currantturn.BackendServer) {
+		switch {
+		case x == nil:
+			d = append(d, Change{Action: Added, Service: a.Name, Backend: y.ID, To: describeBackend(y)})
+		case y == nil:
+			d = append(d, Change{Action: Removed, Service: a.Name, Backend: x.ID, From: describeBackend(x)})
+		default:
+			d = d.backend(a.Name, x, y)
+		}
+	})
+	return d
+}
+
+func (d Diff) backend(s currantturn.ServiceName, x, y *currantturn.BackendServer) Diff {
+	d = d.field(s, x.ID, "failure_domain", string(x.FailureDomain), string(y.FailureDomain))
+	d = d.field(s, x.ID, "agent", x.Agent.String(), y.Agent.String())
+	d = d.field(s, x.ID, "stream", x.Stream.String(), y.Stream.String())
+	d = d.field(s, x.ID, "slots", strconv.Itoa(x.Slots), strconv.Itoa(y.Slots))
+	d = d.field(s, x.ID, "weight", strconv.Itoa(x.Weight), strconv.Itoa(y.Weight))
+	return d.field(s, x.ID, "state", string(x.State), string(y.State))
+}
+
+func (d Diff) field(s currantturn.ServiceName, id currantturn.BackendID, name, from, to string) Diff {
+	if from == to {
+		return d
+	}
+	return append(d, Change{Action: Changed, Service: s, Backend: id, Field: name, From: from, To: to})
+}
+
+func describeService(s *currantturn.Service) string {
+	return fmt.Sprintf("addresses %v, %d backend servers", s.Addresses, len(s.Backends))
+}
+
+func describeBackend(b *currantturn.BackendServer) string {
+	return fmt.Sprintf(
+		"%s, agent %s, stream %s, slots %d, weight %d, %s",
+		b.FailureDomain, b.Agent, b.Stream, b.Slots, b.Weight, b.State,
+	)
+}
+
+var marks = map[Action]string{Added: "+", Removed: "-", Changed: "~"}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s service %s", marks[c.Action], c.Service)
+	if c.Backend != "" {
+		fmt.Fprintf(&b, ", backend server %s", c.Backend)
+	}
+	switch c.Action {
+	case Changed:
+		fmt.Fprintf(&b, ": %s %s -> %s", c.Field, c.From, c.To)
+	case Added:
+		fmt.Fprintf(&b, ": %s", c.To)
+	case Removed:
+		fmt.Fprintf(&b, ": %s", c.From)
+	}
+	return b.String()
+}
+
+// Render writes a verdict and its changes for people.
+func Render(w io.Writer, v Verdict, d Diff) error {
+	var b strings.Builder
+	switch v.Outcome {
+	case InForce:
+		fmt.Fprintf(&b, "accepted: version %d would be in force\n", v.Version)
+		if len(d) == 0 {
+			b.WriteString("changes nothing\n")
+		}
+	case Rejected:
+		fmt.Fprintf(&b, "rejected: version %d stays in force\n", v.Version)
+	}
+	for _, r := range v.Reasons {
+		fmt.Fprintf(&b, "! %s\n", r.Error())
+	}
+	for _, c := range d {
+		fmt.Fprintf(&b, "%s\n", c)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
