--- a/pkg/patch/apply.go
+++ b/pkg/patch/apply.go
@@ -22,7 +22,7 @@
 	e.changeLimits(&s.Limits, op.Limits)
 	for i := range op.BackendServers {
 		b := e.checkBackend(indexed("backend_servers", i), op.BackendServers[i])
-		s.Backends = insertBackend(s.Backends, b)
+		e.insert(&s, indexed("backend_servers", i), b)
 	}
 	e.addService(s)
 }
@@ -56,7 +56,8 @@
 func (op AddBackendServer) apply(e *editor) {
 	b := e.checkBackend("backend_server", op.BackendServer)
 	if s := e.service(op.Service); s != nil {
-		s.Backends = insertBackend(slices.Clone(s.Backends), b)
+		s.Backends = slices.Clone(s.Backends)
+		e.insert(s, "backend_server", b)
 	}
 }
 
@@ -83,7 +84,7 @@
 	}
 	e.takes(op.Service, op.AllowEmpty)
 	s.Backends = slices.DeleteFunc(s.Backends, func(x currantturn.BackendServer) bool { return x.ID == op.ID })
-	s.Backends = insertBackend(s.Backends, n)
+	e.insert(s, "backend_server", n)
 }
 
 func (op SetWeight) apply(e *editor) {
@@ -114,10 +115,14 @@
 	}
 }
 
-// insertBackend keeps the order by ID; a repeated ID is found by the final check.
-func insertBackend(all []currantturn.BackendServer, b currantturn.BackendServer) []currantturn.BackendServer {
-	i, _ := slices.BinarySearchFunc(all, b.ID, compareBackend)
-	return slices.Insert(all, i, b)
+// insert keeps the order by ID; the service's backend servers must be its own.
+func (e *editor) insert(s *currantturn.Service, field string, b currantturn.BackendServer) {
+	i, exists := slices.BinarySearchFunc(s.Backends, b.ID, compareBackend)
+	if exists {
+		e.reject(field+".id", CodeExists, "backend server %q in service %q", b.ID, s.Name)
+		return
+	}
+	s.Backends = slices.Insert(s.Backends, i, b)
 }
 
 func compareBackend(b currantturn.BackendServer, id currantturn.BackendID) int {
