--- a/cmd/currantturn/main.go
+++ b/cmd/currantturn/main.go
@@ -1,4 +1,13 @@
 // Command currantturn runs and inspects the load balancer.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/currantturn/currantturn/internal/command"
+)
+
+func main() {
+	os.Exit(command.New(hooks()).Run(context.Background(), os.Args))
+}
--- /dev/null
+++ b/internal/command/patch.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/currantturn/currantturn"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+const patchDescription = `Judges the patch in FILE as every process would if it were published next to the
+log at the given version, and prints what it changes. Nothing is written. Exit
+code 0 means in force, 1 rejected, 2 that the patch or the log cannot be read.`
+
+func (p *Program) patchCommand() *cli.Command {
+	check := &cli.Command{
+		Name:        "check",
+		Usage:       "judge a patch before it is published",
+		ArgsUsage:   "FILE",
+		Description: patchDescription,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "against", Usage: "`VERSION` that the patch builds on", Required: true},
+			&cli.StringFlag{Name: "log", Usage: "published log, a `FILE_OR_URL`", Required: true, TakesFile: true},
+			formatFlag(),
+		},
+		Action: p.checkPatch,
+	}
+	return &cli.Command{Name: "patch", Usage: "commands on patches of the configuration", Commands: []*cli.Command{check}}
+}
+
+func (p *Program) checkPatch(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "FILE")
+	if err != nil {
+		return err
+	}
+	patch, err := readBounded(args[0], maxPatchBytes)
+	if err != nil {
+		return err
+	}
+	if p.Hooks.CheckPatch == nil {
+		return eris.Wrap(ErrNotWired, "patch check")
+	}
+	verdict, err := p.Hooks.CheckPatch(ctx, PatchCheck{
+		Patch: patch, Against: currantturn.Version(c.Uint64("against")), Log: c.String("log"),
+	})
+	if err != nil {
+		return err
+	}
+	if err := p.printVerdict(verdict, formatOf(c)); err != nil {
+		return err
+	}
+	if !verdict.Accepted {
+		return eris.Wrap(ErrRejected, args[0])
+	}
+	return nil
+}
+
+func readBounded(path string, limit int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, badInput("%v", err)
+	}
+	defer f.Close()
+	p, err := io.ReadAll(io.LimitReader(f, limit+1))
+	if err != nil {
+		return nil, badInput("%v", err)
+	}
+	if int64(len(p)) > limit {
+		return nil, badInput("%s is larger than %d bytes", path, limit)
+	}
+	return p, nil
+}
+
+func (p *Program) printVerdict(v *PatchVerdict, format Format) error {
+	if format == FormatJSON {
+		return p.printJSON(v)
+	}
+	if v.Accepted {
+		fmt.Fprintf(p.Out, "in force as version %d\n", v.Version)
+	} else {
+		fmt.Fprintf(p.Out, "rejected: %s\n", v.Reason)
+	}
+	for _, change := range v.Changes {
+		fmt.Fprintf(p.Out, "  %s\n", change)
+	}
+	return nil
+}
+
+func (p *Program) printJSON(v any) error {
+	e := json.NewEncoder(p.Out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/internal/command/process.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/settings"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+type processHook func(context.Context, *Process) error
+
+var (
+	errForced  = eris.New("stopped at once by a second signal")
+	errOverran = eris.New("graceful shutdown exceeded its grace")
+)
+
+func terminationSignals() (<-chan os.Signal, func()) {
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+	return c, func() { signal.Stop(c) }
+}
+
+func (p *Program) processCommand(role, usage string, hook processHook) *cli.Command {
+	return &cli.Command{
+		Name:  role,
+		Usage: usage,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "INI `FILE` of the process", Required: true, TakesFile: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if _, err := arguments(c); err != nil {
+				return err
+			}
+			o, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			if string(o.Process.Role) != role {
+				return settings.Problems{{
+					File: c.String("settings"), Section: "process", Key: "role", Text: "is " + string(o.Process.Role) + ", not " + role,
+				}}
+			}
+			if hook == nil {
+				return eris.Wrap(ErrNotWired, role)
+			}
+			return p.runProcess(ctx, o, hook)
+		},
+	}
+}
+
+// runProcess runs a hook, logs its life and turns signals into its stop.
+func (p *Program) runProcess(ctx context.Context, o *settings.Options, hook processHook) error {
+	logger := event.NewLogger(p.Err, o.Log.Format, o.Log.Level, o.Process.Name)
+	report := func(number int, fields ...currantturn.Field) {
+		logger.Log(p.Now(), currantturn.Event{Number: number, Fields: fields})
+	}
+	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", o.Link.Address))
+	started := p.Now()
+	err := p.supervise(ctx, o, logger, report, hook)
+	if err != nil {
+		report(event.ProcessFailed, event.F("error", err))
+		return err
+	}
+	report(event.ProcessStopped, event.F("elapsed", p.Now().Sub(started)))
+	return nil
+}
+
+// supervise waits for the hook; after a second signal or an overrun grace it
+// waits no longer than forcedStopDelay.
+func (p *Program) supervise(
+	ctx context.Context, o *settings.Options, logger *event.Logger, report func(int, ...currantturn.Field), hook processHook,
+) error {
+	signals, restore := p.Signals()
+	defer restore()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	done := make(chan error, 1)
+	go func() { done <- hook(ctx, &Process{Options: o, Log: logger, Audit: p.Err, Stop: stop}) }()
+
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+	}
+	report(event.ShutdownStarted, event.F("grace", o.Process.ShutdownGrace))
+	close(stop)
+	grace := time.NewTimer(o.Process.ShutdownGrace)
+	defer grace.Stop()
+	var forced error
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		report(event.ShutdownForced)
+		forced = errForced
+	case <-grace.C:
+		forced = errOverran
+	}
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(forcedStopDelay):
+	}
+	return forced
+}
--- /dev/null
+++ b/internal/command/settings.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"context"
+
+	"github.com/currantturn/currantturn/internal/settings"
+	"github.com/urfave/cli/v3"
+)
+
+func (p *Program) settingsCommand() *cli.Command {
+	check := &cli.Command{
+		Name:      "check",
+		Usage:     "print the settings in force, or every mistake in them",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			args, err := arguments(c, "FILE")
+			if err != nil {
+				return err
+			}
+			o, err := settings.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return settings.WriteOptions(p.Out, o)
+		},
+	}
+	return &cli.Command{Name: "settings", Usage: "commands on settings files", Commands: []*cli.Command{check}}
+}
