Place flows by load and keep them at their holder

The thin balancer and agent knew no flow: any change of the ranking moved packets. The home of a flow now places it by load and keeps a redirect to its holder, holders announce themselves to the two highest ranks, an unknown flow is searched for before it is adopted or reset, and a membership with incarnation numbers tells who is alive. Connection IDs may carry the backend server. An envelope gets an intent (route, place, held), because the receiver of a forwarded packet cannot otherwise tell a new flow from one that it lost.

The runtime has to register agent.Kinds() and balancer.Kinds() for the control messages to arrive.

--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -3,76 +3,240 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/membership"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/connid"
+	"github.com/currantturn/currantturn/internal/state/flow"
 )
 
-// Options are an agent's identity and the fleet's hash key.
+// Options are an agent's identity, the fleet's keys and its bounds; all but
+// the first four may be left out.
 type Options struct {
 	ID      currantturn.BackendID
 	Service currantturn.ServiceName
 	Self    netip.AddrPort // link address
 	Key     rank.Key
+	Seed    uint64                  // of its random choices
+	ConnIDs *connid.Codec           // reads connection IDs of QUIC
+	Load    func() currantturn.Load // requests as the agent sees them
+	Records int                     // bound of the flow table
+	Idle    time.Duration           // after which a silent flow ends
+	Assert  bool                    // reports broken invariants as events
 }
 
 // Agent is the router beside a backend server.
 type Agent struct {
-	opts  Options
-	mu    sync.Mutex
-	heard []netip.AddrPort // balancers, in the order in which they were first heard
-	next  int
+	opts     Options
+	table    *flow.Table
+	ids      *flow.Interner
+	members  *membership.List
+	plan     atomic.Pointer[plan]
+	searches [flow.Shards]map[uint64]*search // each under its table shard's lock
+	heard    heard
+	outbox   outbox
+	counts   counts
+	mu       sync.Mutex // guards the fields below and changes of the plan
+	epoch    uint64     // of the members in the plan
+	sweepAt  int        // shard
+	noticed  time.Time
+	draining time.Time // since when this process leaves
+	drained  bool
 }
 
 // New returns an agent that holds no flows.
 func New(opts Options) *Agent {
-	return &Agent{opts: opts}
+	if opts.Records == 0 {
+		opts.Records = DefaultRecords
+	}
+	if opts.Idle == 0 {
+		opts.Idle = DefaultFlowIdle
+	}
+	a := &Agent{
+		opts:    opts,
+		table:   flow.NewTable(opts.Records),
+		ids:     flow.NewInterner(),
+		members: membership.New(membership.Options{ID: opts.ID, Service: opts.Service, Seed: opts.Seed}),
+	}
+	for i := range a.searches {
+		a.searches[i] = make(map[uint64]*search)
+	}
+	a.heard.init()
+	return a
 }
 
-// Configure puts a newer configuration in force.
-func (a *Agent) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
-
-// Route delivers a packet of this agent's service.
-func (a *Agent) Route(_ time.Time, _ netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
-	if e.Service != a.opts.Service || e.Direction != currantturn.ToBackend {
-		return
+// Kinds lists the control messages that an agent handles.
+func Kinds() []currantturn.Kind {
+	own := []currantturn.Kind{
+		Query{}.Kind(), Reply{}.Kind(), Announce{}.Kind(), AnnounceAck{}.Kind(), membership.EchoReply{}.Kind(),
 	}
-	a.hear(e.Balancer)
-	out.Delivers = append(out.Delivers, e.Packet)
+	return append(own, membership.Kinds()...)
 }
 
-func (a *Agent) hear(b netip.AddrPort) {
+// Members is what the agent knows of its service's other agents.
+func (a *Agent) Members() *membership.List {
+	return a.members
+}
+
+// Configure puts a newer configuration in force.
+func (a *Agent) Configure(now time.Time, v *currantturn.View, out *currantturn.Effects) {
+	s := v.Service(a.opts.Service)
+	if s == nil {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, known := range a.heard {
-		if known == b {
-			return
+	if p := a.plan.Load(); p != nil && v.Version < p.version {
+		return
+	}
+	a.members.Configure(now, v.Version, s)
+	a.replan(now, v.Version, s, out)
+}
+
+// replan ranks anew; the caller holds a.mu.
+func (a *Agent) replan(now time.Time, v currantturn.Version, s *currantturn.Service, out *currantturn.Effects) {
+	a.epoch = a.members.Epoch()
+	p := newPlan(v, s, a.members.Gone())
+	p.follow(now, a.plan.Load(), a.members.Restarted(), a.ids)
+	a.plan.Store(p)
+	a.watchDrain(now, out)
+}
+
+// SetLeaving starts or cancels the drain of this process by its own endpoint.
+func (a *Agent) SetLeaving(now time.Time, leaving bool, out *currantturn.Effects) {
+	a.members.SetLeaving(now, leaving)
+	a.refresh(now, out)
+}
+
+// SetVMs takes the platform's lagging list.
+func (a *Agent) SetVMs(now time.Time, vms []currantturn.VM, out *currantturn.Effects) {
+	leaving := make(map[netip.AddrPort]bool)
+	for i := range vms {
+		if vms[i].State == currantturn.VMLeaving {
+			leaving[vms[i].Link] = true
 		}
 	}
-	a.heard = append(a.heard, b)
+	a.members.Listed(now, func(link netip.AddrPort) bool { return leaving[link] })
+	a.heard.setLeaving(leaving)
+	a.refresh(now, out)
 }
 
-// Answer sends a packet back through one of the balancers in turn.
-func (a *Agent) Answer(_ time.Time, p *currantturn.Packet, out *currantturn.Effects) {
+// refresh ranks anew if the members changed.
+func (a *Agent) refresh(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.heard) == 0 {
+	p := a.plan.Load()
+	if p == nil || a.members.Epoch() == a.epoch {
 		return
 	}
-	a.next = (a.next + 1) % len(a.heard)
-	out.Forwards = append(out.Forwards, currantturn.Forward{
-		To: a.heard[a.next],
-		Envelope: currantturn.Envelope{
-			Direction: currantturn.ToCaller,
-			Service:   a.opts.Service,
-			Packet:    *p,
-		},
-	})
+	a.replan(now, p.version, p.service, out)
+}
+
+// watchDrain reports the start of a drain; the caller holds a.mu.
+func (a *Agent) watchDrain(now time.Time, out *currantturn.Effects) {
+	leaving := a.members.Leaving()
+	switch {
+	case leaving && a.draining.IsZero():
+		a.draining, a.drained = now, false
+		out.Event(event.DrainStarted, event.F("service", a.opts.Service), event.F("backend", a.opts.ID))
+	case !leaving:
+		a.draining = time.Time{}
+	}
 }
 
 // Handle takes a control message.
-func (a *Agent) Handle(time.Time, netip.AddrPort, currantturn.Message, *currantturn.Effects) {}
+func (a *Agent) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	switch m := m.(type) {
+	case Query:
+		a.handleQuery(now, from, m, out)
+	case Reply:
+		a.handleReply(now, m, out)
+	case Announce:
+		a.handleAnnounce(now, from, m, out)
+	case AnnounceAck:
+		a.outbox.acknowledge(m.Seq)
+	case membership.EchoReply:
+		a.heard.answered(now, from)
+	default:
+		a.members.Handle(now, from, m, out)
+		a.refresh(now, out)
+	}
+}
 
-// Tick does nothing yet.
-func (a *Agent) Tick(time.Time, *currantturn.Effects) {}
+// Tick does what is due.
+func (a *Agent) Tick(now time.Time, out *currantturn.Effects) {
+	a.members.Tick(now, a.load(), out)
+	a.refresh(now, out)
+	p := a.plan.Load()
+	if p == nil {
+		return
+	}
+	a.tickSearches(now, p, out)
+	a.sweep(now, p, out)
+	a.outbox.flush(now, a, p, out)
+	a.notify(now, out)
+	a.heard.probe(now, out)
+	a.finishDrain(now, out)
+}
+
+func (a *Agent) load() currantturn.Load {
+	var load currantturn.Load
+	if a.opts.Load != nil {
+		load = a.opts.Load()
+	}
+	_, load.Flows = a.table.Len()
+	return load
+}
+
+func (a *Agent) finishDrain(now time.Time, out *currantturn.Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining.IsZero() || a.drained {
+		return
+	}
+	if _, held := a.table.Len(); held > 0 {
+		return
+	}
+	a.drained = true
+	out.Event(event.DrainFinished, event.F("service", a.opts.Service), event.F("backend", a.opts.ID),
+		event.F("elapsed", now.Sub(a.draining)))
+}
+
+// notify tells balancers who is gone or back.
+func (a *Agent) notify(now time.Time, out *currantturn.Effects) {
+	a.mu.Lock()
+	all := now.Sub(a.noticed) >= NoticeEvery
+	if all {
+		a.noticed = now
+	}
+	a.mu.Unlock()
+	for _, n := range a.members.Notices(false) {
+		for _, b := range a.heard.some(now, noticeFan) {
+			out.Send(b, n)
+		}
+	}
+	newcomers := a.heard.newcomers()
+	if !all && len(newcomers) == 0 {
+		return
+	}
+	if all {
+		newcomers = append(newcomers, a.heard.some(now, refreshFan)...)
+	}
+	for _, n := range a.members.Notices(true) {
+		for _, b := range newcomers {
+			out.Send(b, n)
+		}
+	}
+}
+
+// violated counts a broken invariant.
+func (a *Agent) violated(invariant string, detail any, out *currantturn.Effects) {
+	a.counts.violations.Add(1)
+	if a.opts.Assert {
+		out.Event(event.InvariantViolated, event.F("invariant", invariant), event.F("detail", detail))
+	}
+}
--- /dev/null
+++ b/internal/coordination/agent/plan.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/state/flow"
+)
+
+// plan is one ranking of the service's backend servers: those of a
+// configuration without the ones that are gone.
+type plan struct {
+	epoch    uint32
+	version  currantturn.Version
+	service  *currantturn.Service // as configured
+	live     *rank.Table
+	gone     map[currantturn.BackendID]bool
+	replaced time.Time           // when a later plan came in force
+	forgot   map[flow.Ref]uint32 // epoch at which a backend server lost its records
+	byAgent  map[netip.AddrPort]currantturn.BackendID
+	seeds    map[uint64]*currantturn.BackendServer
+	earlier  []*plan // newest first
+}
+
+func newPlan(v currantturn.Version, s *currantturn.Service, gone map[currantturn.BackendID]bool) *plan {
+	p := &plan{
+		version: v,
+		service: s,
+		live:    rank.Live(s, gone),
+		gone:    gone,
+		byAgent: make(map[netip.AddrPort]currantturn.BackendID, len(s.Backends)),
+		seeds:   make(map[uint64]*currantturn.BackendServer, len(s.Backends)),
+	}
+	for i := range s.Backends {
+		b := &s.Backends[i]
+		p.byAgent[b.Agent] = b.ID
+		p.seeds[rank.Seed(b.ID)] = b
+	}
+	return p
+}
+
+// top returns the highest ranks of a flow.
+func (p *plan) top(hash uint64) (out [currantturn.MaxRanks]currantturn.BackendID) {
+	var index [currantturn.MaxRanks]int
+	n := p.live.Top(hash, rank.Every, index[:])
+	for i := range n {
+		out[i] = p.live.Service.Backends[index[i]].ID
+	}
+	return out
+}
+
+// address returns where an agent is, also when only an earlier plan had it.
+func (p *plan) address(id currantturn.BackendID) (netip.AddrPort, bool) {
+	if b := p.service.Backend(id); b != nil {
+		return b.Agent, true
+	}
+	for _, old := range p.earlier {
+		if b := old.service.Backend(id); b != nil {
+			return b.Agent, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// sameRanks says whether both plans rank the same backend servers alike.
+func (p *plan) sameRanks(q *plan) bool {
+	a, b := p.live.Service.Backends, q.live.Service.Backends
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].ID != b[i].ID || a[i].Weight != b[i].Weight {
+			return false
+		}
+	}
+	return true
+}
+
+// follow makes p the successor of old.
+func (p *plan) follow(now time.Time, old *plan, restarted []currantturn.BackendID, ids *flow.Interner) {
+	p.forgot = make(map[flow.Ref]uint32)
+	p.epoch = 1
+	if old != nil {
+		p.epoch = old.epoch + 1
+		p.earlier = old.earlier
+		for r, at := range old.forgot {
+			p.forgot[r] = at
+		}
+		if !p.sameRanks(old) {
+			last := *old
+			last.replaced = now
+			last.earlier = nil
+			p.earlier = append([]*plan{&last}, old.earlier...)
+			p.earlier = p.earlier[:min(len(p.earlier), maxHistory)]
+		}
+	}
+	for _, id := range restarted {
+		p.forgot[ids.Ref(id)] = p.epoch
+	}
+}
--- /dev/null
+++ b/internal/coordination/agent/route.go
@@ -0,0 +1,315 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/connid"
+	"github.com/currantturn/currantturn/internal/state/flow"
+	"github.com/currantturn/currantturn/internal/state/hint"
+)
+
+// arrival is one packet under decision.
+type arrival struct {
+	now    time.Time
+	from   netip.AddrPort
+	env    *currantturn.Envelope
+	plan   *plan
+	hash   uint64
+	key    flow.Key
+	conn   uint32 // hash of the connection ID in an opening QUIC packet
+	shard  *flow.Shard
+	number int // of the shard
+	out    *currantturn.Effects
+}
+
+// Route delivers a packet of a flow that is held here and sends on all others.
+func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
+	if e.Service != a.opts.Service || e.Direction != currantturn.ToBackend {
+		a.counts.foreign.Add(1)
+		return
+	}
+	a.heard.hear(now, e.Balancer)
+	p := a.plan.Load()
+	if p == nil {
+		a.counts.unconfigured.Add(1)
+		return
+	}
+	if e.Hops >= maxHops {
+		a.counts.hopLimit.Add(1)
+		out.Event(event.HopLimitReached, event.F("flow", e.Packet.Flow), event.F("hops", e.Hops))
+		return
+	}
+	d := &arrival{now: now, from: from, env: e, plan: p, out: out}
+	d.hash = a.opts.Key.Flow(e.Packet.Flow)
+	d.key = flow.KeyOf(e.Packet.Flow)
+	d.number = flow.ShardOf(d.hash)
+	d.shard = a.table.At(d.number)
+	d.shard.Lock()
+	defer d.shard.Unlock()
+	if a.byConnectionID(d) {
+		return
+	}
+	a.byRecord(d)
+}
+
+// byConnectionID follows the backend server in a QUIC connection ID, whatever
+// address the packet came from.
+func (a *Agent) byConnectionID(d *arrival) bool {
+	if a.opts.ConnIDs == nil || d.env.Packet.Mark == currantturn.MarkNone {
+		return false
+	}
+	id := connid.Destination(d.env.Packet.Payload)
+	if d.env.Packet.Mark == currantturn.MarkOpening {
+		d.conn = uint32(xxhash.Sum64(id))
+	}
+	if len(id) != connid.Bytes {
+		return false
+	}
+	owner := a.owner(d.plan, id)
+	if owner == nil {
+		return false
+	}
+	if owner.ID == a.opts.ID {
+		a.keep(d, flow.Silent)
+		a.deliver(d)
+		return true
+	}
+	if m, ok := a.members.Get(owner.ID); ok && m.DeadFor(d.now) < DeadGrace {
+		a.forward(d, owner.ID, currantturn.IntentHeld)
+		return true
+	}
+	// The holder is dead: a stateless reset tells the caller at once.
+	a.deliver(d)
+	return true
+}
+
+func (a *Agent) owner(p *plan, id []byte) *currantturn.BackendServer {
+	for key := range a.opts.ConnIDs.Keys() {
+		if b := p.seeds[a.opts.ConnIDs.Seed(key, id)]; b != nil {
+			return b
+		}
+	}
+	return nil
+}
+
+// byRecord follows what is known of the flow.
+func (a *Agent) byRecord(d *arrival) {
+	if s := a.searches[d.number][d.hash]; s != nil && s.key == d.key {
+		a.join(s, d)
+		return
+	}
+	r := d.shard.Get(d.hash, &d.key)
+	switch {
+	case r == nil:
+		a.unknown(d)
+	case r.Has(flow.Held):
+		a.atHolder(d, r)
+	case a.outdated(d, r):
+		d.shard.Delete(r)
+		a.unknown(d)
+	default:
+		a.atRedirect(d, r)
+	}
+}
+
+// outdated says whether a redirect contradicts the agent that sent the packet:
+// it placed the flow here after it had been fenced off, or the redirect points
+// back to it.
+func (a *Agent) outdated(d *arrival, r *flow.Record) bool {
+	switch d.env.Intent {
+	case currantturn.IntentPlace:
+		return r.Has(flow.Fenced)
+	case currantturn.IntentHeld:
+		return d.from.IsValid() && d.plan.byAgent[d.from] == a.ids.ID(r.Holder)
+	default:
+		return false
+	}
+}
+
+// atHolder delivers a packet of a flow that is held here.
+func (a *Agent) atHolder(d *arrival, r *flow.Record) {
+	if d.env.Packet.Mark == currantturn.MarkOpening && a.newWork(d, r) {
+		return
+	}
+	r.Seen = flow.StampOf(d.now)
+	if d.env.Packet.Mark == currantturn.MarkClosing {
+		r.Set(flow.Closed)
+	}
+	a.deliver(d)
+	if d.env.Hops > 0 {
+		a.hint(d, a.opts.ID)
+	}
+}
+
+// newWork handles an opening packet on a known flow. A repeated one belongs to
+// the flow; a new connection of the same caller, or a flow that was closed, is
+// new work, which a leaving backend server passes on.
+func (a *Agent) newWork(d *arrival, r *flow.Record) bool {
+	if d.conn == r.Conn && !r.Has(flow.Closed) {
+		return false
+	}
+	if !a.members.Leaving() {
+		r.Conn = d.conn
+		r.Clear(flow.Closed)
+		return false
+	}
+	// The record stays: packets of the earlier connection still arrive here.
+	next := a.ids.ID(r.Holder)
+	if next == "" {
+		id, ok := a.choose(d.now, d.hash)
+		if !ok || id == a.opts.ID {
+			a.reject(d, "no backend server takes new work")
+			return true
+		}
+		next = id
+		r.Holder = a.ids.Ref(id)
+		r.Set(flow.Silent)
+	}
+	a.forward(d, next, currantturn.IntentPlace)
+	return true
+}
+
+// atRedirect sends a packet to the recorded holder.
+func (a *Agent) atRedirect(d *arrival, r *flow.Record) {
+	holder := a.ids.ID(r.Holder)
+	m, configured := a.members.Get(holder)
+	opening := d.env.Packet.Mark == currantturn.MarkOpening
+	_, known := d.plan.address(holder)
+	lost := !known || (configured && m.DeadFor(d.now) >= DeadGrace)
+	switch {
+	case holder == a.opts.ID, holder == "", lost:
+		// Nobody holds the flow any more; data packets are reset here.
+		if opening || d.env.Packet.Mark == currantturn.MarkNone {
+			d.shard.Delete(r)
+			a.unknown(d)
+			return
+		}
+		a.deliver(d)
+	default:
+		r.Seen = flow.StampOf(d.now)
+		a.forward(d, holder, currantturn.IntentHeld)
+	}
+}
+
+// unknown handles a packet of a flow without a record.
+func (a *Agent) unknown(d *arrival) {
+	opening := d.env.Packet.Mark == currantturn.MarkOpening
+	switch d.env.Intent {
+	case currantturn.IntentPlace:
+		a.accept(d)
+		return
+	case currantturn.IntentHeld:
+		if opening {
+			a.place(d)
+			return
+		}
+		a.search(d, nil)
+		return
+	}
+	ranks := d.plan.top(d.hash)
+	if home := ranks[0]; home != a.opts.ID && a.passToHome(d, home) {
+		return
+	}
+	if !opening {
+		a.search(d, nil)
+		return
+	}
+	if asked := a.guards(d, ranks); len(asked) > 0 {
+		a.search(d, asked)
+		return
+	}
+	a.place(d)
+}
+
+// passToHome sends a packet to the home by this agent's ranking, unless the
+// balancer skipped that home or the rankings differ too much.
+func (a *Agent) passToHome(d *arrival, home currantturn.BackendID) bool {
+	if home == "" || d.env.Hops >= maxTrustedHops || d.env.Ranks[0] == home {
+		return false
+	}
+	m, ok := a.members.Get(home)
+	if !ok || m.State != membershipAlive {
+		return false
+	}
+	a.forward(d, home, currantturn.IntentRoute)
+	return true
+}
+
+// guards lists the agents that may have placed the flow already: its homes by
+// recent rankings and by the balancer's.
+func (a *Agent) guards(d *arrival, ranks [currantturn.MaxRanks]currantturn.BackendID) []currantturn.BackendID {
+	var asked []currantturn.BackendID
+	add := func(id currantturn.BackendID) {
+		if id == "" || id == a.opts.ID || contains(asked, id) || d.from == a.addressOf(d.plan, id) {
+			return
+		}
+		if m, ok := a.members.Get(id); ok && m.State == membershipDead {
+			return
+		}
+		asked = append(asked, id)
+	}
+	add(ranks[0])
+	add(d.env.Ranks[0])
+	for _, old := range d.plan.earlier {
+		if d.now.Sub(old.replaced) < GuardWindow {
+			top := old.top(d.hash)
+			add(top[0])
+		}
+	}
+	if a.members.Stale(d.now) {
+		add(ranks[1])
+		add(ranks[2])
+	}
+	return asked
+}
+
+func contains(ids []currantturn.BackendID, id currantturn.BackendID) bool {
+	for _, known := range ids {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) addressOf(p *plan, id currantturn.BackendID) netip.AddrPort {
+	at, _ := p.address(id)
+	return at
+}
+
+func (a *Agent) deliver(d *arrival) {
+	a.counts.delivered.Add(1)
+	d.out.Delivers = append(d.out.Delivers, d.env.Packet)
+}
+
+// forward sends the packet to another agent.
+func (a *Agent) forward(d *arrival, to currantturn.BackendID, intent currantturn.Intent) {
+	at, ok := d.plan.address(to)
+	if !ok {
+		a.reject(d, "holder has no address")
+		return
+	}
+	a.counts.redirected.Add(1)
+	next := currantturn.Forward{To: at, Envelope: *d.env}
+	next.Envelope.Intent = intent
+	next.Envelope.Hops++
+	d.out.Forwards = append(d.out.Forwards, next)
+}
+
+func (a *Agent) reject(d *arrival, reason string) {
+	a.counts.rejected.Add(1)
+	d.out.Event(event.FlowRejected, event.F("flow", d.env.Packet.Flow), event.F("service", a.opts.Service),
+		event.F("reason", reason))
+}
+
+// hint tells the packet's balancer who holds the flow.
+func (a *Agent) hint(d *arrival, holder currantturn.BackendID) {
+	if !d.env.Balancer.IsValid() || !a.outbox.takeHint(d.now) {
+		return
+	}
+	d.out.Send(d.env.Balancer, hint.Hint{Hash: d.hash, Holder: holder})
+}
--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -1,77 +1,197 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/membership"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/connid"
+	"github.com/currantturn/currantturn/internal/state/hint"
 )
 
-// Options are a balancer's identity and the fleet's hash key.
+// Options are a balancer's identity, the fleet's keys and its bounds; all but
+// the first two may be left out.
 type Options struct {
-	Self netip.AddrPort // link address
-	Key  rank.Key
+	Self    netip.AddrPort // link address
+	Key     rank.Key
+	Seed    uint64        // of its random choices
+	ConnIDs *connid.Codec // reads connection IDs of QUIC
+	Hints   int           // bound of the hint cache
 }
 
 // Balancer is the router of an entry VM.
 type Balancer struct {
-	opts Options
-	plan atomic.Pointer[plan]
+	opts    Options
+	plan    atomic.Pointer[plan]
+	hints   *hint.Cache
+	counts  counts
+	mu      sync.Mutex // guards the fields below and changes of the plan
+	marks   map[member]mark
+	leaving map[netip.AddrPort]bool // agents that leave by the VM list
+	peers   []netip.AddrPort        // other balancers of the VM list
+	rng     *rand.Rand
+	bytes   float64 // of gossip that may be sent now
+	filled  time.Time
+	expired time.Time // when marks were last expired
 }
 
-// plan is one configuration prepared for ranking.
-type plan struct {
-	view   *currantturn.View
-	tables map[currantturn.ServiceName]*rank.Table
+type counts struct {
+	routed, answered, unknown, direct, hinted, unroutable, notices atomic.Uint64
+}
+
+// Counters are a balancer's totals since its start.
+type Counters struct {
+	Routed     uint64 `json:"routed"`
+	Answered   uint64 `json:"answered"`
+	Unknown    uint64 `json:"unknown_service"`
+	Direct     uint64 `json:"by_connection_id"`
+	Hinted     uint64 `json:"by_hint"`
+	Unroutable uint64 `json:"unroutable"`
+	Notices    uint64 `json:"notices"`
+	Hints      int    `json:"hints"`
+	Marks      int    `json:"marks"`
 }
 
 // New returns a balancer that has no configuration yet.
 func New(opts Options) *Balancer {
-	b := &Balancer{opts: opts}
-	b.plan.Store(&plan{view: currantturn.NewView(0, nil)})
+	if opts.Hints == 0 {
+		opts.Hints = hint.DefaultEntries
+	}
+	b := &Balancer{
+		opts:  opts,
+		hints: hint.New(opts.Hints),
+		marks: make(map[member]mark),
+		rng:   rand.New(rand.NewPCG(opts.Seed, 3)),
+	}
+	b.rebuild(currantturn.NewView(0, nil))
 	return b
 }
 
+// Kinds lists the control messages that a balancer handles.
+func Kinds() []currantturn.Kind {
+	return []currantturn.Kind{hint.Hint{}.Kind(), membership.Notice{}.Kind(), membership.Echo{}.Kind()}
+}
+
+// Counters returns the totals so far.
+func (b *Balancer) Counters() Counters {
+	c := &b.counts
+	b.mu.Lock()
+	marks := len(b.marks)
+	b.mu.Unlock()
+	return Counters{
+		Routed:     c.routed.Load(),
+		Answered:   c.answered.Load(),
+		Unknown:    c.unknown.Load(),
+		Direct:     c.direct.Load(),
+		Hinted:     c.hinted.Load(),
+		Unroutable: c.unroutable.Load(),
+		Notices:    c.notices.Load(),
+		Hints:      b.hints.Len(),
+		Marks:      marks,
+	}
+}
+
 // Configure puts a newer configuration in force.
 func (b *Balancer) Configure(_ time.Time, v *currantturn.View, _ *currantturn.Effects) {
-	p := &plan{view: v, tables: make(map[currantturn.ServiceName]*rank.Table, len(v.Services))}
-	for i := range v.Services {
-		s := &v.Services[i]
-		p.tables[s.Name] = rank.NewTable(s)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if v.Version >= b.plan.Load().view.Version {
+		b.rebuild(v)
+	}
+}
+
+// SetVMs takes the platform's lagging list.
+func (b *Balancer) SetVMs(_ time.Time, vms []currantturn.VM, _ *currantturn.Effects) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = make(map[netip.AddrPort]bool)
+	b.peers = b.peers[:0]
+	for i := range vms {
+		switch vm := &vms[i]; {
+		case vm.Role == currantturn.RoleAgent && vm.State == currantturn.VMLeaving:
+			b.leaving[vm.Link] = true
+		case vm.Role == currantturn.RoleBalancer && vm.State == currantturn.VMLive && vm.Link != b.opts.Self:
+			b.peers = append(b.peers, vm.Link)
+		}
 	}
-	b.plan.Store(p)
+	b.rebuild(b.plan.Load().view)
 }
 
-// Route sends a caller's packet to its home agent and an answer to its caller.
-func (b *Balancer) Route(_ time.Time, _ netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
-	if e.Direction == currantturn.ToCaller {
-		out.Answers = append(out.Answers, e.Packet)
+// Handle takes a control message.
+func (b *Balancer) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	switch m := m.(type) {
+	case hint.Hint:
+		b.hints.Put(m)
+	case membership.Echo:
+		out.Send(from, membership.EchoReply{Seq: m.Seq})
+	case membership.Notice:
+		b.handleNotice(now, m, out)
+	}
+}
+
+// handleNotice takes what agents say of a backend server, and passes on what
+// is new.
+func (b *Balancer) handleNotice(now time.Time, n membership.Notice, out *currantturn.Effects) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := member{n.Service, n.Update.ID}
+	s := b.plan.Load().view.Service(n.Service)
+	if s == nil || s.Backend(n.Update.ID) == nil {
 		return
 	}
-	p := b.plan.Load()
-	s := p.view.At(e.Packet.Flow.Service)
-	if s == nil {
+	old, known := b.marks[at]
+	if known && old.update == n.Update {
+		old.until = now.Add(GoneFor)
+		b.marks[at] = old
 		return
 	}
-	var top [currantturn.MaxRanks]int
-	n := p.tables[s.Name].Top(b.opts.Key.Flow(e.Packet.Flow), rank.Active, top[:])
-	if n == 0 {
+	if known && n.Update.Incarnation < old.update.Incarnation || len(b.marks) >= maxGone && !known {
 		return
 	}
-	next := currantturn.Forward{To: s.Backends[top[0]].Agent, Envelope: *e}
-	next.Envelope.Service = s.Name
-	next.Envelope.Version = p.view.Version
-	next.Envelope.Balancer = b.opts.Self
-	for i := range n {
-		next.Envelope.Ranks[i] = s.Backends[top[i]].ID
+	b.counts.notices.Add(1)
+	b.marks[at] = mark{update: n.Update, until: now.Add(GoneFor)}
+	b.rerank(n.Service)
+	b.gossip(now, n, out)
+	if n.Update.State == membership.Dead {
+		out.Event(event.MemberDead, event.F("member", n.Update.ID), event.F("incarnation", n.Update.Incarnation))
 	}
-	out.Forwards = append(out.Forwards, next)
 }
 
-// Handle takes a control message.
-func (b *Balancer) Handle(time.Time, netip.AddrPort, currantturn.Message, *currantturn.Effects) {}
+// gossip passes a notice to a few other balancers within the budget.
+func (b *Balancer) gossip(now time.Time, n membership.Notice, out *currantturn.Effects) {
+	b.bytes = min(b.bytes+now.Sub(b.filled).Seconds()*GossipBytesPerSecond, GossipBytesPerSecond)
+	b.filled = now
+	for range min(gossipFan, len(b.peers)) {
+		if b.bytes < noticeBytes {
+			return
+		}
+		b.bytes -= noticeBytes
+		out.Send(b.peers[b.rng.IntN(len(b.peers))], n)
+	}
+}
 
-// Tick does nothing yet.
-func (b *Balancer) Tick(time.Time, *currantturn.Effects) {}
+// Tick forgets notices that were not repeated.
+func (b *Balancer) Tick(now time.Time, _ *currantturn.Effects) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.expired) < time.Second {
+		return
+	}
+	b.expired = now
+	changed := make(map[currantturn.ServiceName]bool)
+	for at, m := range b.marks {
+		if now.After(m.until) {
+			delete(b.marks, at)
+			changed[at.service] = true
+		}
+	}
+	for name := range changed {
+		b.rerank(name)
+	}
+}
--- a/internal/coordination/rank/rank.go
+++ b/internal/coordination/rank/rank.go
@@ -128,3 +128,31 @@
 	}
 	return &t.Service.Backends[out[0]]
 }
+
+// Every accepts every backend server of a table that is filtered already.
+func Every(*currantturn.BackendServer) bool {
+	return true
+}
+
+// Live returns a table of the active backend servers that are not gone; when
+// there are none it falls back to all active and then to all configured ones.
+func Live(s *currantturn.Service, gone map[currantturn.BackendID]bool) *Table {
+	accepts := []Filter{
+		func(b *currantturn.BackendServer) bool { return Active(b) && !gone[b.ID] },
+		Active,
+		Configured,
+	}
+	for _, accept := range accepts {
+		live := *s
+		live.Backends = nil
+		for i := range s.Backends {
+			if accept(&s.Backends[i]) {
+				live.Backends = append(live.Backends, s.Backends[i])
+			}
+		}
+		if len(live.Backends) > 0 {
+			return NewTable(&live)
+		}
+	}
+	return NewTable(s)
+}
--- /dev/null
+++ b/internal/protocol/connid/codec.go
@@ -0,0 +1,103 @@
+package connid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"encoding/binary"
+	"io"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// Bytes is the length of a connection ID: one cipher block.
+	Bytes = aes.BlockSize
+	// KeyBytes is the length of a key.
+	KeyBytes = 16
+
+	longHeader  = 0x80
+	fixedBit    = 0x40
+	longIDBytes = 5 // offset of the destination ID's length in a long header
+)
+
+// Codec encrypts a backend server's 64-bit seed and a 64-bit nonce as one
+// block. A block made without the key decrypts to a random seed, which matches
+// one of n backend servers with a probability of n / 2^64.
+type Codec struct {
+	blocks []cipher.Block
+}
+
+// NewCodec returns a codec that encodes under the first key and decodes under
+// all of them, so that keys can be rotated.
+func NewCodec(keys ...[KeyBytes]byte) *Codec {
+	c := &Codec{}
+	for i := range keys {
+		// The only error is a wrong key length.
+		b, _ := aes.NewCipher(keys[i][:])
+		c.blocks = append(c.blocks, b)
+	}
+	return c
+}
+
+// Keys is how many keys a packet has to be tried with.
+func (c *Codec) Keys() int {
+	return len(c.blocks)
+}
+
+// Seed decrypts a connection ID under the given key number.
+func (c *Codec) Seed(key int, id []byte) uint64 {
+	var b [Bytes]byte
+	c.blocks[key].Decrypt(b[:], id)
+	return binary.BigEndian.Uint64(b[:8])
+}
+
+// Generator makes the connection IDs of one backend server.
+type Generator struct {
+	block cipher.Block
+	seed  uint64
+	rand  io.Reader
+}
+
+var _ quic.ConnectionIDGenerator = (*Generator)(nil)
+
+// NewGenerator returns a generator for the backend server with the given
+// rank.Seed; nonces come from the given source.
+func NewGenerator(c *Codec, seed uint64, rand io.Reader) *Generator {
+	return &Generator{block: c.blocks[0], seed: seed, rand: rand}
+}
+
+// GenerateConnectionID returns a new connection ID.
+func (g *Generator) GenerateConnectionID() (quic.ConnectionID, error) {
+	var b [Bytes]byte
+	binary.BigEndian.PutUint64(b[:8], g.seed)
+	if _, err := io.ReadFull(g.rand, b[8:]); err != nil {
+		return quic.ConnectionID{}, eris.Wrap(err, "read a nonce")
+	}
+	g.block.Encrypt(b[:], b[:])
+	return quic.ConnectionIDFromBytes(b[:]), nil
+}
+
+// ConnectionIDLen is the length of the connection IDs.
+func (g *Generator) ConnectionIDLen() int {
+	return Bytes
+}
+
+// Destination returns the destination connection ID of a QUIC packet, or nil;
+// a short header carries no length, so that it is taken to be of ours.
+func Destination(p []byte) []byte {
+	if len(p) <= longIDBytes || p[0]&fixedBit == 0 {
+		return nil
+	}
+	if p[0]&longHeader == 0 {
+		if len(p) < 1+Bytes {
+			return nil
+		}
+		return p[1 : 1+Bytes]
+	}
+	n := int(p[longIDBytes])
+	if len(p) < longIDBytes+1+n {
+		return nil
+	}
+	return p[longIDBytes+1 : longIDBytes+1+n]
+}
--- a/internal/protocol/envelope/envelope.go
+++ b/internal/protocol/envelope/envelope.go
@@ -8,13 +8,14 @@
 	"github.com/rotisserie/eris"
 )
 
-// Wire layout, big endian: format, direction, mark, hops (1 byte each),
+// Wire layout, big endian: format, direction, mark, hops, intent (1 byte each),
 // version (8), balancer, caller and service address (18 each), then service
 // name and ranks as length-prefixed strings, then the payload.
 const (
 	format      = 1
 	addrBytes   = 18
-	fixedBytes  = 4 + 8 + 3*addrBytes
+	headBytes   = 5
+	fixedBytes  = headBytes + 8 + 3*addrBytes
 	maxNameSize = 63
 	// MaxHeaderBytes is the largest encoded header.
 	MaxHeaderBytes = fixedBytes + (1+currantturn.MaxRanks)*(1+maxNameSize)
@@ -22,7 +23,10 @@
 
 var (
 	directions = [...]currantturn.Direction{currantturn.ToBackend, currantturn.ToCaller}
-	marks      = [...]currantturn.Mark{
+	intents    = [...]currantturn.Intent{
+		currantturn.IntentRoute, currantturn.IntentPlace, currantturn.IntentHeld,
+	}
+	marks = [...]currantturn.Mark{
 		currantturn.MarkNone, currantturn.MarkOpening, currantturn.MarkData, currantturn.MarkClosing,
 	}
 )
@@ -31,10 +35,11 @@
 func Append(dst []byte, e *currantturn.Envelope) ([]byte, error) {
 	d := indexOf(directions[:], e.Direction)
 	m := indexOf(marks[:], e.Packet.Mark)
+	i := max(indexOf(intents[:], e.Intent), 0)
 	if d < 0 || m < 0 {
 		return dst, eris.Wrap(currantturn.ErrMalformed, "envelope direction or mark")
 	}
-	dst = append(dst, format, byte(d), byte(m), e.Hops)
+	dst = append(dst, format, byte(d), byte(m), e.Hops, byte(i))
 	dst = binary.BigEndian.AppendUint64(dst, uint64(e.Version))
 	dst = appendAddrPort(dst, e.Balancer)
 	dst = appendAddrPort(dst, e.Packet.Flow.Caller)
@@ -86,14 +91,15 @@
 	if len(p) < fixedBytes || p[0] != format {
 		return eris.Wrap(currantturn.ErrMalformed, "envelope header")
 	}
-	if int(p[1]) >= len(directions) || int(p[2]) >= len(marks) {
-		return eris.Wrap(currantturn.ErrMalformed, "envelope direction or mark")
+	if int(p[1]) >= len(directions) || int(p[2]) >= len(marks) || int(p[4]) >= len(intents) {
+		return eris.Wrap(currantturn.ErrMalformed, "envelope direction, mark or intent")
 	}
 	e.Direction = directions[p[1]]
 	e.Packet.Mark = marks[p[2]]
 	e.Hops = p[3]
-	e.Version = currantturn.Version(binary.BigEndian.Uint64(p[4:]))
-	p = p[12:]
+	e.Intent = intents[p[4]]
+	e.Version = currantturn.Version(binary.BigEndian.Uint64(p[headBytes:]))
+	p = p[headBytes+8:]
 	e.Balancer, p = cutAddrPort(p)
 	e.Packet.Flow.Caller, p = cutAddrPort(p)
 	e.Packet.Flow.Service, p = cutAddrPort(p)
--- a/internal/protocol/envelope/envelope_test.go
+++ b/internal/protocol/envelope/envelope_test.go
@@ -16,6 +16,7 @@
 func sample() currantturn.Envelope {
 	return currantturn.Envelope{
 		Direction: currantturn.ToBackend,
+		Intent:    currantturn.IntentPlace,
 		Service:   "verify",
 		Version:   7,
 		Balancer:  netip.MustParseAddrPort("127.0.0.1:7000"),
--- a/packet.go
+++ b/packet.go
@@ -35,12 +35,23 @@
 	ToCaller  Direction = "to_caller"
 )
 
+// Intent tells an agent why another agent forwards a packet to it.
+type Intent string
+
+// Intents of an envelope; a balancer always sends IntentRoute.
+const (
+	IntentRoute Intent = "route" // the receiver decides where the flow is
+	IntentPlace Intent = "place" // the receiver is chosen to hold a new flow
+	IntentHeld  Intent = "held"  // the receiver is recorded as the flow's holder
+)
+
 // MaxRanks is how many ranked backend servers an envelope names.
 const MaxRanks = 3
 
 // Envelope carries a packet between a balancer and an agent, or two agents.
 type Envelope struct {
 	Direction Direction
+	Intent    Intent // empty means IntentRoute
 	Service   ServiceName
 	Version   Version
 	Hops      uint8          // agents passed so far
