--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -47,15 +47,15 @@
 
 // Counters are a balancer's totals since its start.
 type Counters struct {
-	Routed     uint64 `json:"routed"`
-	Answered   uint64 `json:"answered"`
-	Unknown    uint64 `json:"unknown_service"`
-	Direct     uint64 `json:"by_connection_id"`
-	Hinted     uint64 `json:"by_hint"`
-	Unroutable uint64 `json:"unroutable"`
-	Notices    uint64 `json:"notices"`
-	Hints      int    `json:"hints"`
-	Marks      int    `json:"marks"`
+	Routed     uint64 `json:"routed"`           // packets sent to agents
+	Answered   uint64 `json:"answered"`         // answers sent to callers
+	Unknown    uint64 `json:"unknown_service"`  // packets for an address of no service
+	Direct     uint64 `json:"by_connection_id"` // packets sent by their connection ID
+	Hinted     uint64 `json:"by_hint"`          // packets sent by a hint
+	Unroutable uint64 `json:"unroutable"`       // packets of services without backend servers
+	Notices    uint64 `json:"notices"`          // news of backend servers that died, leave or are back
+	Hints      int    `json:"hints"`            // hints kept at present
+	Marks      int    `json:"marks"`            // backend servers with news at present
 }
 
 // New returns a balancer that has no configuration yet.
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -103,13 +103,13 @@
 
 // Counters are a list's totals since its start.
 type Counters struct {
-	Probes       uint64 `json:"probes"`
-	Renewals     uint64 `json:"renewals"`
-	Suspicions   uint64 `json:"suspicions"`
-	Deaths       uint64 `json:"deaths"`
-	Refutations  uint64 `json:"refutations"`
-	Pauses       uint64 `json:"pauses"`
-	DroppedRelay uint64 `json:"dropped_relays"`
+	Probes       uint64 `json:"probes"`         // probes sent
+	Renewals     uint64 `json:"renewals"`       // channels found silent and given a fresh socket
+	Suspicions   uint64 `json:"suspicions"`     // suspicions learnt or raised
+	Deaths       uint64 `json:"deaths"`         // deaths learnt or declared
+	Refutations  uint64 `json:"refutations"`    // suspicions about this process refuted
+	Pauses       uint64 `json:"pauses"`         // pauses of this process detected
+	DroppedRelay uint64 `json:"dropped_relays"` // probes for others forgotten because too many wait
 }
 
 // New returns a list without members.
