--- a/internal/coordination/claim/claim_test.go
+++ b/internal/coordination/claim/claim_test.go
@@ -22,9 +22,13 @@
 		Keys:    rapid.IntRange(1, 12).Draw(t, "keys"),
 		SmallBy: rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "small"),
 	}
+	kinds := rapid.SampledFrom([][]string{
+		{"pause", "restart", "partition", "configure"},
+		{"configure", "configure", "partition"},
+	}).Draw(t, "kinds")
 	for range rapid.IntRange(0, 8).Draw(t, "faults") {
 		s.Faults = append(s.Faults, fault{
-			Kind:   rapid.SampledFrom([]string{"pause", "restart", "partition", "configure"}).Draw(t, "kind"),
+			Kind:   rapid.SampledFrom(kinds).Draw(t, "kind"),
 			On:     rapid.SampledFrom([]string{"time", "grant", "run"}).Draw(t, "on"),
 			At:     time.Duration(rapid.IntRange(0, 30000).Draw(t, "at")) * time.Millisecond,
 			For:    time.Duration(rapid.IntRange(1, 12000).Draw(t, "for")) * time.Millisecond,
--- a/internal/coordination/claim/cluster_test.go
+++ b/internal/coordination/claim/cluster_test.go
@@ -248,7 +248,7 @@
 			for j := range random {
 				random[j] = byte(c.rng.Uint32())
 			}
-			c.keys[i] = request.NewKey(epoch.Add(c.now+c.between(-skew, 2*skew)), random)
+			c.keys[i] = request.NewKey(epoch.Add(c.now+c.between(-skew, 4*skew)), random)
 			c.try(i, 2+c.rng.IntN(3))
 			if c.rng.IntN(2) == 0 {
 				c.try(i, 1) // the same key at two processes at once
@@ -274,7 +274,11 @@
 	}
 	p := c.processes[c.rng.IntN(len(c.processes))]
 	c.after(0, p, func() { c.open(key, p) })
-	c.after(c.between(0, lasts/8), nil, func() { c.try(key, left-1) })
+	again := lasts / 8
+	if c.rng.IntN(4) == 0 {
+		again = lasts // past the retention
+	}
+	c.after(c.between(0, again), nil, func() { c.try(key, left-1) })
 }
 
 func (c *cluster) open(key int, p *process) {
--- /dev/null
+++ b/internal/transport/request/counters.go
@@ -0,0 +1,58 @@
+package request
+
+import (
+	"sync/atomic"
+
+	protocol "github.com/currantturn/currantturn/internal/protocol/request"
+)
+
+type counts struct {
+	answered, notRun, pastDeadline, unknown, other atomic.Uint64
+	repeated, cut, retries, suppressed             atomic.Uint64
+}
+
+// Counters are a handler's totals since its start, by outcome and cause.
+type Counters struct {
+	Answered     uint64 `json:"answered"`
+	NotRun       uint64 `json:"not_run"`
+	PastDeadline uint64 `json:"past_deadline"`
+	Unknown      uint64 `json:"outcome_unknown"`
+	Other        uint64 `json:"other"`
+	Repeated     uint64 `json:"repeated"`
+	Cut          uint64 `json:"cut"`
+	Retries      uint64 `json:"retries"`
+	Suppressed   uint64 `json:"suppressed"`
+	HeldBytes    int64  `json:"held_bytes"`
+}
+
+func (c *counts) add(o protocol.Outcome) {
+	switch o {
+	case protocol.Answered:
+		c.answered.Add(1)
+	case protocol.NotRun:
+		c.notRun.Add(1)
+	case protocol.PastDeadline:
+		c.pastDeadline.Add(1)
+	case protocol.Unknown:
+		c.unknown.Add(1)
+	default:
+		c.other.Add(1)
+	}
+}
+
+// Counters returns the totals so far.
+func (h *Handler) Counters() Counters {
+	c := &h.counts
+	return Counters{
+		Answered:     c.answered.Load(),
+		NotRun:       c.notRun.Load(),
+		PastDeadline: c.pastDeadline.Load(),
+		Unknown:      c.unknown.Load(),
+		Other:        c.other.Load(),
+		Repeated:     c.repeated.Load(),
+		Cut:          c.cut.Load(),
+		Retries:      c.retries.Load(),
+		Suppressed:   c.suppressed.Load(),
+		HeldBytes:    h.held.Load(),
+	}
+}
