--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,13 @@
-.PHONY: build test lint
+# DURATION and SEED of try; SEED, CHECKS and TIMEOUT of long; FUZZTIME, a time or a
+# number of executions, of each target of fuzz.
+DEPLOYMENT ?= authority
+DURATION ?= 20s
+SEED ?= 1
+CHECKS ?= 20000
+TIMEOUT ?= 2h
+FUZZTIME ?= 200000x
+
+.PHONY: build test lint try long fuzz bench
 
 build:
 	go build -o bin/currantturn ./cmd/currantturn
@@ -9,3 +18,21 @@
 lint:
 	go tool gofumpt -w .
 	go tool revive -config revive.toml -set_exit_status ./...
+
+try: build
+	bin/currantturn try $(DEPLOYMENT) --duration $(DURATION) --seed $(SEED)
+
+# Randomised runs of every package that has them, longer than those of test.
+long:
+	go test -count=1 -timeout $(TIMEOUT) \
+		$$(grep -rl --include='*_test.go' 'pgregory.net/rapid"' . | xargs -n1 dirname | sort -u) \
+		-rapid.checks=$(CHECKS) -rapid.seed=$(SEED)
+
+fuzz:
+	set -e; grep -rHo --include='*_test.go' '^func Fuzz[A-Za-z]*' . | sed 's/:func / /' | \
+	while read -r file target; do \
+		go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) -parallel 2 "$$(dirname "$$file")"; \
+	done
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/cmd/currantturn/doc.go
@@ -0,0 +1,2 @@
+// Command currantturn runs and inspects the load balancer.
+package main
--- a/cmd/currantturn/main.go
+++ b/cmd/currantturn/main.go
@@ -1,4 +1,3 @@
-// Command currantturn runs and inspects the load balancer.
 package main
 
 import (
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -71,11 +71,9 @@
 			files(), func(o *Options) *string { return &o.Trust.CertificateFile }).required(),
 		key("key_file", "", "Private key of this process, PEM.",
 			files(), func(o *Options) *string { return &o.Trust.KeyFile }).required(),
-		key("datagram_key_file", "", "Key that authenticates datagrams between processes.",
+		key("datagram_key_file", "", "Key ring of the datagrams between processes: INI, section [keys], at most two IDs with 32 bytes in hexadecimal each, and active = the ID that seals.",
 			files(), func(o *Options) *string { return &o.Trust.DatagramKeyFile }).required(),
-		key("datagram_key_previous_file", "", "Datagram key that is still accepted during a rotation.",
-			files(), func(o *Options) *string { return &o.Trust.DatagramKeyPreviousFile }),
-		key("hash_key_file", "", "Key of the hash that ranks backend servers; the same on the whole fleet.",
+		key("hash_key_file", "", "Secret of at least 32 bytes, the same on the whole fleet, from which the keys of ranking, connection IDs and resets derive.",
 			files(), func(o *Options) *string { return &o.Trust.HashKeyFile }).required(),
 		key("reload_every", "1m", "How often the files of this section are read again.",
 			durations(time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Trust.ReloadEvery }),
@@ -111,28 +109,33 @@
 func flowKeys() []Definition {
 	return section(
 		"flows", "",
-		key("idle_timeout", "10m", "Time without packets after which a flow is forgotten.",
-			durations(10*time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Flows.IdleTimeout }),
-		key("shards", "16", "Parts of a table, each under its own lock.",
-			counts("shards", 1, 1024), func(o *Options) *int { return &o.Flows.Shards }),
-		key("flows_per_shard", "4096", "Flows that one part of an agent's table holds at most.",
-			counts("flows", 16, 1<<20), func(o *Options) *int { return &o.Flows.FlowsPerShard }).only(currantturn.RoleAgent),
-		key("hint_cache_size", "65536", "Hints about the places of flows that a balancer keeps at most.",
-			counts("hints", 16, 1<<22), func(o *Options) *int { return &o.Flows.HintCacheSize }).only(currantturn.RoleBalancer),
+		key("idle_timeout", "2m", "Time without packets after which a flow is forgotten.",
+			durations(10*time.Second, 24*time.Hour),
+			func(o *Options) *time.Duration { return &o.Flows.IdleTimeout }).only(currantturn.RoleAgent),
+		key("table_size", "262144", "Records of flows that an agent keeps at most.",
+			counts("flows", 1024, 1<<23), func(o *Options) *int { return &o.Flows.TableSize }).only(currantturn.RoleAgent),
+		key("hint_cache_size", "131072", "Hints about the places of flows that a balancer keeps at most.",
+			counts("hints", 1024, 1<<23), func(o *Options) *int { return &o.Flows.HintCacheSize }).only(currantturn.RoleBalancer),
+		key("check_invariants", "false", "Checks the invariants of the tables at run time and reports a broken one as event 108.",
+			booleans(), func(o *Options) *bool { return &o.Flows.CheckInvariants }),
 	)
 }
 
 func requestKeys() []Definition {
 	return section(
 		"requests", currantturn.RoleAgent,
-		key("retention", "10m", "How long the claim, outcome and answer of a request are kept.",
-			durations(10*time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Requests.Retention }),
-		key("records_max", "8192", "Records kept at most; a new request beyond them is not run.",
-			counts("records", 16, 1<<20), func(o *Options) *int { return &o.Requests.RecordsMax }),
-		key("record_bytes", "4KiB", "Largest answer kept for repeats.",
-			sizes(0, 16*mebibyte), func(o *Options) *int64 { return &o.Requests.RecordBytes }),
-		key("queue", "64", "Requests that wait for a slot at most.",
+		key("retention", "15m", "How long the claim, outcome and answer of a request are kept.",
+			durations(time.Minute, 24*time.Hour), func(o *Options) *time.Duration { return &o.Requests.Retention }),
+		key("record_store_bytes", "16MiB", "Memory for records; a new request beyond it is not run.",
+			sizes(64*kibibyte, 1024*mebibyte), func(o *Options) *int64 { return &o.Requests.RecordStoreBytes }),
+		key("clock_skew", "1s", "How far two clocks of callers and processes may differ.",
+			durations(0, time.Minute), func(o *Options) *time.Duration { return &o.Requests.ClockSkew }),
+		key("queue", "64", "Requests that wait for a slot at most, where the configuration sets no limit.",
 			counts("requests", 0, 65536), func(o *Options) *int { return &o.Requests.Queue }),
+		key("watches_max", "4096", "Answers without end, which take no slot, at most.",
+			counts("answers", 0, 1<<20), func(o *Options) *int { return &o.Requests.WatchesMax }),
+		key("cold_start", "10s", "How long a started backend server ramps up to all its slots.",
+			durations(0, 10*time.Minute), func(o *Options) *time.Duration { return &o.Requests.ColdStart }),
 	)
 }
 
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -63,13 +63,12 @@
 
 // Trust names the files that processes authenticate each other with.
 type Trust struct {
-	CAFile                  string
-	CertificateFile         string
-	KeyFile                 string
-	DatagramKeyFile         string
-	DatagramKeyPreviousFile string
-	HashKeyFile             string
-	ReloadEvery             time.Duration
+	CAFile          string
+	CertificateFile string
+	KeyFile         string
+	DatagramKeyFile string
+	HashKeyFile     string
+	ReloadEvery     time.Duration
 }
 
 // Log says how events are logged.
@@ -89,18 +88,20 @@
 
 // Flows bounds the tables of flows.
 type Flows struct {
-	IdleTimeout   time.Duration
-	Shards        int
-	FlowsPerShard int
-	HintCacheSize int
+	IdleTimeout     time.Duration
+	TableSize       int
+	HintCacheSize   int
+	CheckInvariants bool
 }
 
 // Requests bounds the requests of an agent and the records kept of them.
 type Requests struct {
-	Retention   time.Duration
-	RecordsMax  int
-	RecordBytes int64
-	Queue       int
+	Retention        time.Duration
+	RecordStoreBytes int64
+	ClockSkew        time.Duration
+	Queue            int
+	WatchesMax       int
+	ColdStart        time.Duration
 }
 
 // Backend is the backend server beside an agent.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,13 +77,14 @@
 		Expect(o.Platform.URLs).To(HaveLen(2))
 		Expect(o.Link.AdvertisedAddress).To(Equal(o.Link.Address))
 		Expect(o.Trust.CAFile).To(Equal("testdata/file.pem"))
-		Expect(o.Flows.IdleTimeout).To(Equal(10 * time.Minute))
+		Expect(o.Process.ShutdownGrace).To(Equal(30 * time.Second))
+		Expect(o.Flows.HintCacheSize).To(Equal(131072))
 	})
 
 	It("reads an agent's file into typed options", func() {
-		o, err := load(string(agent) + "\n[requests]\nrecord_bytes = 64KiB")
+		o, err := load(string(agent) + "\n[requests]\nrecord_store_bytes = 64KiB")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(o.Requests.RecordBytes).To(Equal(int64(64 << 10)))
+		Expect(o.Requests.RecordStoreBytes).To(Equal(int64(64 << 10)))
 		Expect(o.Backend.HealthURL.String()).To(Equal("http://127.0.0.1:8080/health"))
 		Expect(o.Entry.Addresses).To(BeEmpty())
 	})
@@ -106,15 +107,15 @@
 		Entry("unknown key", &balancer, "\n[flows]\ncolour = red", "[flows] colour: unknown key"),
 		Entry("key of the other role", &balancer, "\n[requests]\nqueue = 1", "[requests] queue: does not apply to the role balancer"),
 		Entry("repeated key", &agent, "\n[requests]\nretention = 1m\nretention = 2m", "[requests] retention: given more than once"),
-		Entry("duration below its range", &balancer, "\n[flows]\nidle_timeout = 1s", "[flows] idle_timeout: 1s is out of range (10s to 24h)"),
-		Entry("no duration", &balancer, "\n[flows]\nidle_timeout = 10", `[flows] idle_timeout: "10" is not a duration such as 500ms or 30s`),
+		Entry("duration below its range", &agent, "\n[flows]\nidle_timeout = 1s", "[flows] idle_timeout: 1s is out of range (10s to 24h)"),
+		Entry("no duration", &agent, "\n[flows]\nidle_timeout = 10", `[flows] idle_timeout: "10" is not a duration such as 500ms or 30s`),
 		Entry("rate that is no number", &balancer, "\n[platform]\nread_budget_per_second = NaN", "[platform] read_budget_per_second: NaN is out of range (0.01 to 100)"),
-		Entry("size above its range", &agent, "\n[requests]\nrecord_bytes = 17MiB", "[requests] record_bytes: 17MiB is out of range (0 to 16MiB)"),
+		Entry("size above its range", &agent, "\n[requests]\nrecord_store_bytes = 2000MiB", "[requests] record_store_bytes: 2000MiB is out of range (64KiB to 1024MiB)"),
 		Entry("unknown choice", &balancer, "\n[log]\nlevel = loud", `[log] level: "loud" is not one of: debug, info, warning, error`),
 		Entry("empty value", &balancer, "\n[log]\nlevel =", "[log] level: has no value"),
 		Entry("bare key", &balancer, "\n[log]\nlevel", "[log] level: has no value"),
-		Entry("missing file", &balancer, "\n[trust]\ndatagram_key_previous_file = absent", "[trust] datagram_key_previous_file: stat testdata/absent: no such file or directory"),
-		Entry("directory for a file", &balancer, "\n[trust]\ndatagram_key_previous_file = .", "[trust] datagram_key_previous_file: testdata is not a regular file of 1 byte to 1MiB"),
+		Entry("missing file", &balancer, "\n[admin]\nca_file = absent", "[admin] ca_file: stat testdata/absent: no such file or directory"),
+		Entry("directory for a file", &balancer, "\n[admin]\nca_file = .", "[admin] ca_file: testdata is not a regular file of 1 byte to 1MiB"),
 		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
 	)
