--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -10,7 +10,6 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/agent"
-	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/transport/link"
 	"github.com/rotisserie/eris"
 )
@@ -24,9 +23,10 @@
 	Advertise netip.AddrPort
 	Backend   netip.AddrPort // HTTP address of the backend server
 	CallerTLS *tls.Config
-	ResetKey  [32]byte // service-wide, so that any agent can reset a lost connection
 	Sealer    currantturn.Sealer
-	Key       rank.Key
+	Secrets   Secrets
+	Seed      uint64 // of random choices
+	Assert    bool   // report broken invariants
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
@@ -35,6 +35,7 @@
 type Agent struct {
 	node     *node
 	opts     AgentOptions
+	machine  *agent.Agent
 	handler  http.Handler
 	cancel   context.CancelFunc
 	mu       sync.Mutex
@@ -51,15 +52,26 @@
 		return nil, err
 	}
 	n.link = l
-	machine := agent.New(agent.Options{ID: opts.ID, Service: opts.Service, Self: l.Self(), Key: opts.Key})
+	forward := newForwarder(opts.Backend)
+	machine := agent.New(agent.Options{
+		ID:      opts.ID,
+		Service: opts.Service,
+		Self:    l.Self(),
+		Key:     opts.Secrets.Rank,
+		Seed:    opts.Seed,
+		ConnIDs: opts.Secrets.ConnIDs,
+		Load:    forward.load,
+		Assert:  opts.Assert,
+	})
 	n.router = machine
 	n.answerer = machine
-	n.add(machine)
+	n.add(machine, agent.Kinds()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		node:     n,
 		opts:     opts,
-		handler:  newForwarder(opts.Backend),
+		machine:  machine,
+		handler:  forward,
 		cancel:   cancel,
 		services: make(map[netip.AddrPort]*front),
 	}
@@ -90,7 +102,7 @@
 	defer a.mu.Unlock()
 	f := a.services[service]
 	if f == nil {
-		f = newFront(service, a.opts.CallerTLS, a.opts.ResetKey, a.handler, a.node.answer)
+		f = newFront(service, a.opts, a.handler, a.node.answer)
 		a.services[service] = f
 	}
 	return f
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -7,7 +7,6 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/balancer"
-	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/transport/link"
 )
 
@@ -22,7 +21,8 @@
 	Advertise netip.AddrPort
 	Entry     currantturn.Entry
 	Sealer    currantturn.Sealer
-	Key       rank.Key
+	Secrets   Secrets
+	Seed      uint64 // of random choices
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
@@ -46,8 +46,13 @@
 		return nil, err
 	}
 	n.link = l
-	n.router = balancer.New(balancer.Options{Self: l.Self(), Key: opts.Key})
-	n.add(n.router)
+	n.router = balancer.New(balancer.Options{
+		Self:    l.Self(),
+		Key:     opts.Secrets.Rank,
+		Seed:    opts.Seed,
+		ConnIDs: opts.Secrets.ConnIDs,
+	})
+	n.add(n.router, balancer.Kinds()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
 	l.Start(n, linkReaders)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
-	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/core"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/currantturn/currantturn/internal/standin/fabric"
@@ -57,6 +56,8 @@
 
 		service := currantturn.Service{Name: "verify", Addresses: []netip.AddrPort{address}}
 		cert := certificate()
+		secrets, err := core.NewSecrets(make([]byte, core.MasterBytes))
+		Expect(err).NotTo(HaveOccurred())
 		var agents []*core.Agent
 		for i := range 3 {
 			id := currantturn.BackendID(fmt.Sprintf("verify-%d", i))
@@ -66,7 +67,7 @@
 			a, err := core.StartAgent(core.AgentOptions{
 				ID: id, Service: "verify", Link: loopback, Backend: b.Addr(),
 				CallerTLS: &tls.Config{Certificates: []tls.Certificate{cert}},
-				Sealer:    plain{}, Key: rank.Key{K0: 1}, Clock: time.Now, Report: func(currantturn.Event) {},
+				Sealer:    plain{}, Secrets: secrets, Clock: time.Now, Report: func(currantturn.Event) {},
 			})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(a.Close)
@@ -85,7 +86,7 @@
 			e, err := entry.OpenProxy(loopback, f.Addr())
 			Expect(err).NotTo(HaveOccurred())
 			b, err := core.StartBalancer(core.BalancerOptions{
-				Link: loopback, Entry: e, Sealer: plain{}, Key: rank.Key{K0: 1},
+				Link: loopback, Entry: e, Sealer: plain{}, Secrets: secrets,
 				Clock: time.Now, Report: func(currantturn.Event) {},
 			})
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/core/forward.go
+++ b/internal/core/forward.go
@@ -4,20 +4,30 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
+
+	"github.com/currantturn/currantturn"
 )
 
 // forwarder hands a caller's request to the backend server and its answer back.
 type forwarder struct {
 	backend netip.AddrPort
 	client  *http.Client
+	running atomic.Int64
 }
 
 func newForwarder(backend netip.AddrPort) *forwarder {
 	return &forwarder{backend: backend, client: &http.Client{}}
 }
 
+func (f *forwarder) load() currantturn.Load {
+	return currantturn.Load{Running: int(f.running.Load())}
+}
+
 // ServeHTTP streams the answer as it comes.
 func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
 	url := "http://" + f.backend.String() + r.URL.RequestURI()
 	out, err := http.NewRequestWithContext(r.Context(), r.Method, url, r.Body)
 	if err != nil {
--- a/internal/core/front.go
+++ b/internal/core/front.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/protocol/connid"
 	"github.com/currantturn/currantturn/internal/transport/flowconn"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -29,9 +33,13 @@
 	server    *http3.Server
 }
 
-func newFront(
-	service netip.AddrPort, cfg *tls.Config, reset [32]byte, h http.Handler, answer func(*currantturn.Packet),
-) *front {
+func init() {
+	// quic-go warns that it cannot size the buffer of a connection that is no
+	// socket; the link sizes the socket's.
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
+}
+
+func newFront(service netip.AddrPort, opts AgentOptions, h http.Handler, answer func(*currantturn.Packet)) *front {
 	conn := flowconn.New(service, func(caller netip.AddrPort, p []byte) {
 		answer(&currantturn.Packet{
 			Flow:    currantturn.FlowKey{Caller: caller, Service: service},
@@ -39,13 +47,17 @@
 			Payload: p,
 		})
 	})
-	key := quic.StatelessResetKey(reset)
 	f := &front{
-		conn:      conn,
-		transport: &quic.Transport{Conn: conn, StatelessResetKey: &key},
-		server:    &http3.Server{Handler: h},
+		conn: conn,
+		transport: &quic.Transport{
+			Conn:                  conn,
+			StatelessResetKey:     &opts.Secrets.Reset,
+			TokenGeneratorKey:     &opts.Secrets.Token,
+			ConnectionIDGenerator: connid.NewGenerator(opts.Secrets.ConnIDs, rank.Seed(opts.ID), rand.Reader),
+		},
+		server: &http3.Server{Handler: h},
 	}
-	go f.serve(cfg)
+	go f.serve(opts.CallerTLS)
 	return f
 }
 
--- a/internal/try/certificate.go
+++ b/internal/try/certificate.go
@@ -12,12 +12,6 @@
 	"github.com/rotisserie/eris"
 )
 
-type plainSealer struct{}
-
-func (plainSealer) Seal(dst, p []byte) []byte { return append(dst, p...) }
-
-func (plainSealer) Open(_ time.Time, p []byte) ([]byte, error) { return p, nil }
-
 func throwAwayTLS() (*tls.Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/internal/try/report.go
+++ b/internal/try/report.go
@@ -41,6 +41,7 @@
 	P50Millis     float64           `json:"p50_ms"`
 	P99Millis     float64           `json:"p99_ms"`
 	InForceMillis float64           `json:"in_force_max_ms"`
+	Violations    map[string]int    `json:"violated_invariants"`
 	Spreads       []Spread          `json:"spreads"`
 	FirstSeen     map[string]string `json:"first_seen"`
 }
@@ -60,6 +61,7 @@
 	check(r.BrokenFlows > 0, "%d broken flows over planned changes", r.BrokenFlows)
 	check(r.LateWork > 0, "%d requests ran at a draining backend server after %s", r.LateWork, leavingBound)
 	check(r.CutAtStop, "the planned stop did not end within %s", stopGrace)
+	check(len(r.Violations) > 0, "invariants violated inside the program: %v", r.Violations)
 	check(r.InForceMillis > float64(inForceBound.Milliseconds()), "a configuration took %.0f ms to be in force", r.InForceMillis)
 	return out
 }
@@ -87,6 +89,7 @@
 		P50Millis:    millis(t.latency.ValueAtQuantile(50)),
 		P99Millis:    millis(t.latency.ValueAtQuantile(99)),
 		FirstSeen:    t.firstSeen,
+		Violations:   r.site.violations(),
 	}
 	out.RunTwice, out.FalseNotRun = r.countRuns()
 	out.Spreads = r.spreads()
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
+	"encoding/binary"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,6 +14,8 @@
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/seal"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/currantturn/currantturn/internal/standin/fabric"
 	"github.com/currantturn/currantturn/internal/transport/entry"
@@ -23,7 +28,9 @@
 	plan      Deployment
 	fabric    *fabric.Fabric
 	tls       *tls.Config
-	key       rank.Key
+	secrets   core.Secrets
+	ring      seal.Ring
+	broken    map[string]int // invariants that a process reported as broken
 	mu        sync.Mutex
 	services  []currantturn.Service
 	version   currantturn.Version
@@ -57,7 +64,18 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{plan: plan, fabric: f, tls: cfg, key: rank.Key{K0: seed, K1: ^seed}}
+	secrets, err := core.NewSecrets(binary.BigEndian.AppendUint64(make([]byte, core.MasterBytes), seed))
+	if err != nil {
+		return nil, err
+	}
+	s := &site{
+		plan:    plan,
+		fabric:  f,
+		tls:     cfg,
+		secrets: secrets,
+		ring:    seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{byte(seed), 1}}}},
+		broken:  make(map[string]int),
+	}
 	for _, p := range plan.Services {
 		if err := s.startService(p); err != nil {
 			return nil, err
@@ -73,6 +91,27 @@
 	return s, nil
 }
 
+// sealer returns the sealer of one process; each has a sender of its own.
+func (s *site) sealer() (*seal.Sealer, error) {
+	return seal.New(s.ring, time.Now, rand.Reader)
+}
+
+// report counts the invariants that a process found broken.
+func (s *site) report(e currantturn.Event) {
+	if e.Number != event.InvariantViolated {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken[fmt.Sprint(e.Fields)]++
+}
+
+func (s *site) violations() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.broken)
+}
+
 func (s *site) startService(p ServicePlan) error {
 	address, err := s.fabric.AddService()
 	if err != nil {
@@ -108,6 +147,10 @@
 	if err != nil {
 		return nil, err
 	}
+	sealer, err := s.sealer()
+	if err != nil {
+		return nil, err
+	}
 	a, err := core.StartAgent(core.AgentOptions{
 		ID:        id,
 		Service:   p.Name,
@@ -115,11 +158,12 @@
 		Link:      loopback,
 		Backend:   b.Addr(),
 		CallerTLS: s.tls,
-		ResetKey:  [32]byte{1},
-		Sealer:    plainSealer{},
-		Key:       s.key,
+		Sealer:    sealer,
+		Secrets:   s.secrets,
+		Seed:      rank.Seed(id),
+		Assert:    true,
 		Clock:     time.Now,
-		Report:    func(currantturn.Event) {},
+		Report:    s.report,
 	})
 	if err != nil {
 		return nil, err
@@ -132,17 +176,22 @@
 	if err != nil {
 		return nil, err
 	}
+	sealer, err := s.sealer()
+	if err != nil {
+		return nil, err
+	}
 	s.started++
 	name := fmt.Sprintf("entry-%d", s.started)
 	b, err := core.StartBalancer(core.BalancerOptions{
-		Name:   currantturn.VMName(name),
-		Domain: s.domain(s.started - 1),
-		Link:   loopback,
-		Entry:  e,
-		Sealer: plainSealer{},
-		Key:    s.key,
-		Clock:  time.Now,
-		Report: func(currantturn.Event) {},
+		Name:    currantturn.VMName(name),
+		Domain:  s.domain(s.started - 1),
+		Link:    loopback,
+		Entry:   e,
+		Sealer:  sealer,
+		Secrets: s.secrets,
+		Seed:    uint64(s.started),
+		Clock:   time.Now,
+		Report:  s.report,
 	})
 	if err != nil {
 		return nil, err
