Prove the identity of processes by mutual TLS under the fleet's authorities

Cause: channels between processes had no certificate check of their own.

A certificate states one role and name as a URI; peers are accepted by these and not by address, because addresses of VMs change. Both sides verify in VerifyConnection against the authorities of the moment, also on resumption, so that rotation and removal need no restart; ruled out: per-handshake reads of the files as in the administration API, which let half-replaced files refuse peers. An unchanged key ring is no rotation any more; LoadRing reads it from its file.

--- a/internal/protocol/seal/ring.go
+++ b/internal/protocol/seal/ring.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"io"
+	"os"
+	"slices"
 	"strconv"
 
 	"github.com/currantturn/currantturn"
@@ -22,6 +25,24 @@
 	Keys   []Key
 }
 
+// LoadRing reads a key file.
+func LoadRing(path string) (Ring, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Ring{}, eris.Wrap(err, "open the key file")
+	}
+	defer func() { _ = file.Close() }()
+	p, err := io.ReadAll(io.LimitReader(file, maxFileBytes))
+	if err != nil {
+		return Ring{}, eris.Wrap(err, "read the key file")
+	}
+	return ParseRing(p)
+}
+
+func (r Ring) equal(o Ring) bool {
+	return r.Active == o.Active && slices.Equal(r.Keys, o.Keys)
+}
+
 // ParseRing reads the section "keys" of an INI file: "active" names the ID that
 // seals, and each other entry is an ID with its secret in hexadecimal.
 func ParseRing(p []byte) (Ring, error) {
--- a/internal/protocol/seal/seal.go
+++ b/internal/protocol/seal/seal.go
@@ -27,6 +27,7 @@
 
 // keys are the valid keys and this process's authenticator under the active one.
 type keys struct {
+	ring   Ring
 	byID   [256]*key
 	active *key
 	aead   cipher.AEAD
@@ -47,15 +48,19 @@
 	return s, s.Rotate(r)
 }
 
-// Rotate replaces the valid keys without a restart; it refuses an ID that has
-// changed its secret.
+// Rotate replaces the valid keys without a restart, if they differ; it refuses
+// an ID that has changed its secret. The caller must not change r afterwards.
 func (s *Sealer) Rotate(r Ring) error {
 	if err := r.check(); err != nil {
 		return err
 	}
 	s.rotate.Lock()
 	defer s.rotate.Unlock()
-	next, err := s.prepare(r, s.keys.Load())
+	last := s.keys.Load()
+	if last != nil && last.ring.equal(r) {
+		return nil
+	}
+	next, err := s.prepare(r, last)
 	if err != nil {
 		return err
 	}
@@ -68,7 +73,7 @@
 }
 
 func (s *Sealer) prepare(r Ring, last *keys) (*keys, error) {
-	next := &keys{}
+	next := &keys{ring: r}
 	for _, k := range r.Keys {
 		if last != nil && last.byID[k.ID] != nil && last.byID[k.ID].Secret != k.Secret {
 			return nil, eris.Wrapf(currantturn.ErrMalformed, "key %d has changed its secret", k.ID)
--- a/internal/protocol/seal/seal_test.go
+++ b/internal/protocol/seal/seal_test.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -224,6 +226,9 @@
 		_, err := to.Open(c.now, old)
 		Expect(err).To(MatchError(currantturn.ErrReplayed))
 
+		Expect(to.Rotate(ring(1, 1, 2))).To(Succeed())
+		Expect(to.Counters()).To(HaveField("Rotations", uint64(2)), "an unchanged ring is no rotation")
+
 		late := process(c, ring(1, 1), 5).Seal(nil, payload)
 		Expect(to.Rotate(ring(2, 2))).To(Succeed())
 		_, err = to.Open(c.now, late)
@@ -321,7 +326,9 @@
 }
 
 var _ = DescribeTable("key file", func(text string, active int, reason string) {
-	r, err := seal.ParseRing([]byte(strings.ReplaceAll(text, "HEX", strings.Repeat("0a", 32))))
+	path := filepath.Join(GinkgoT().TempDir(), "keys.ini")
+	Expect(os.WriteFile(path, []byte(strings.ReplaceAll(text, "HEX", strings.Repeat("0a", 32))), 0o600)).To(Succeed())
+	r, err := seal.LoadRing(path)
 	if reason != "" {
 		Expect(err).To(MatchError(currantturn.ErrMalformed))
 		Expect(err).To(MatchError(ContainSubstring(reason)))
--- /dev/null
+++ b/internal/transport/identity/doc.go
@@ -0,0 +1,3 @@
+// Package identity proves to each other which process speaks: mutual TLS under
+// the fleet's authorities, reloaded when the files change.
+package identity
--- /dev/null
+++ b/internal/transport/identity/identity_test.go
@@ -0,0 +1,267 @@
+package identity_test
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/standin/authority"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/identity"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+)
+
+func TestIdentity(t *testing.T) { suite.Run(t, "identity") }
+
+var (
+	start    = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	agent    = identity.Peer{Role: currantturn.RoleAgent, Name: "vm-7"}
+	balancer = identity.Peer{Role: currantturn.RoleBalancer, Name: "vm-1"}
+	anyone   = identity.AnyOf(currantturn.RoleAgent, currantturn.RoleBalancer)
+)
+
+// process is one process with its files and its own clock.
+type process struct {
+	*identity.Identity
+	files  identity.Files
+	now    time.Time
+	events []int
+}
+
+func newAuthority() *authority.Authority {
+	a, err := authority.New(start)
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
+func open(a *authority.Authority, peer identity.Peer) (*process, error) {
+	p := &process{now: start}
+	p.write(a, peer)
+	var err error
+	p.Identity, err = identity.Open(p.files, func() time.Time { return p.now }, func(e currantturn.Event) {
+		Expect(event.Check(e)).To(Succeed())
+		p.events = append(p.events, e.Number)
+	})
+	return p, err
+}
+
+func (p *process) write(a *authority.Authority, peer identity.Peer) {
+	var err error
+	dir := GinkgoT().TempDir()
+	if p.files.Key != "" {
+		dir = p.files.Key[:len(p.files.Key)-len("/key.pem")]
+	}
+	p.files, err = a.Write(p.now, dir, peer)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// trust replaces the authorities of a process.
+func (p *process) trust(all ...*authority.Authority) {
+	var b []byte
+	for _, a := range all {
+		b = append(b, a.PEM()...)
+	}
+	Expect(os.WriteFile(p.files.Authorities, b, 0o600)).To(Succeed())
+}
+
+// handshake returns the errors of the client and of the server.
+func handshake(client, server *tls.Config) (error, error) {
+	a, b := net.Pipe()
+	defer func() { _ = a.Close() }()
+	result := make(chan error, 1)
+	go func() {
+		s := tls.Server(b, server)
+		err := s.Handshake()
+		if err == nil {
+			_, err = s.Write([]byte{1})
+		}
+		_ = b.Close()
+		result <- err
+	}()
+	c := tls.Client(a, client)
+	err := c.Handshake()
+	if err == nil {
+		_, err = c.Read(make([]byte, 1))
+	}
+	_ = a.Close()
+	return err, <-result
+}
+
+var _ = Describe("identity", func() {
+	var (
+		fleet  *authority.Authority
+		vm1    *process
+		vm7    *process
+		listen = func(accept identity.Accept) *tls.Config { return vm7.ServerTLS(accept) }
+	)
+	succeed := func(client, server *tls.Config) {
+		GinkgoHelper()
+		c, s := handshake(client, server)
+		Expect(c).NotTo(HaveOccurred())
+		Expect(s).NotTo(HaveOccurred())
+	}
+	BeforeEach(func() {
+		fleet = newAuthority()
+		var err error
+		vm1, err = open(fleet, balancer)
+		Expect(err).NotTo(HaveOccurred())
+		vm7, err = open(fleet, agent)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("accepts both sides by role or name", func() {
+		Expect(vm1.Self()).To(Equal(balancer))
+		succeed(vm1.ClientTLS(identity.Only(agent)), listen(identity.AnyOf(currantturn.RoleBalancer)))
+		Expect(vm1.Counters().Accepted).To(Equal(uint64(1)))
+		Expect(vm7.Counters().Accepted).To(Equal(uint64(1)))
+	})
+
+	DescribeTable("refuses at the server", func(prepare func() *tls.Config, text string) {
+		_, err := handshake(prepare(), listen(identity.AnyOf(currantturn.RoleBalancer)))
+		Expect(err).To(MatchError(ContainSubstring(text)))
+	},
+		Entry("another authority", func() *tls.Config {
+			other := newAuthority()
+			p, err := open(other, balancer)
+			Expect(err).NotTo(HaveOccurred())
+			p.trust(other, fleet)
+			Expect(p.Reload()).To(Succeed())
+			return p.ClientTLS(anyone)
+		}, "unknown authority"),
+		Entry("another role", func() *tls.Config {
+			p, err := open(fleet, agent)
+			Expect(err).NotTo(HaveOccurred())
+			return p.ClientTLS(anyone)
+		}, "not accepted here"),
+		Entry("no certificate", func() *tls.Config {
+			return &tls.Config{InsecureSkipVerify: true, NextProtos: []string{identity.Protocol}}
+		}, "client didn't provide a certificate"),
+		Entry("an expired certificate", func() *tls.Config {
+			vm7.now = vm7.now.Add(authority.Lifetime + time.Second)
+			return vm1.ClientTLS(anyone)
+		}, "expired"),
+		Entry("another protocol", func() *tls.Config {
+			cfg := vm1.ClientTLS(anyone)
+			cfg.NextProtos = []string{"h3"}
+			return cfg
+		}, "application protocol"),
+		Entry("an old TLS version", func() *tls.Config {
+			cfg := vm1.ClientTLS(anyone)
+			cfg.MinVersion, cfg.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+			return cfg
+		}, "unsupported versions"),
+	)
+
+	It("refuses a server of another name, role or authority and counts it", func() {
+		other := identity.Peer{Role: currantturn.RoleAgent, Name: "vm-8"}
+		for n, accept := range []identity.Accept{identity.Only(other), identity.AnyOf(currantturn.RoleBalancer)} {
+			err, _ := handshake(vm1.ClientTLS(accept), listen(anyone))
+			Expect(err).To(MatchError(ContainSubstring("not accepted here")))
+			Expect(vm1.Counters().Refused).To(BeEquivalentTo(n + 1))
+		}
+		stranger, err := open(newAuthority(), agent)
+		Expect(err).NotTo(HaveOccurred())
+		err, _ = handshake(vm1.ClientTLS(anyone), stranger.ServerTLS(anyone))
+		Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+		Expect(vm1.events).To(Equal(slices.Repeat([]int{event.PeerRefused}, 3)))
+	})
+
+	It("rotates the authority without a restart or a refused peer", func() {
+		next := newAuthority()
+		client, server := vm1.ClientTLS(anyone), listen(anyone)
+		for _, step := range []func(){
+			func() { vm1.trust(fleet, next) },
+			func() { vm7.trust(fleet, next) },
+			func() { vm1.write(next, balancer); vm1.trust(fleet, next) },
+			func() { vm7.write(next, agent); vm7.trust(fleet, next) },
+			func() { vm1.trust(next) },
+			func() { vm7.trust(next) },
+		} {
+			step()
+			Expect(vm1.Reload()).To(Succeed())
+			Expect(vm7.Reload()).To(Succeed())
+			succeed(client, server)
+		}
+		Expect(vm1.Counters().Reloads).To(BeEquivalentTo(3))
+		late, err := open(fleet, balancer)
+		Expect(err).NotTo(HaveOccurred())
+		late.trust(fleet, next)
+		Expect(late.Reload()).To(Succeed())
+		_, err = handshake(late.ClientTLS(anyone), server)
+		Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+	})
+
+	DescribeTable("keeps the earlier credentials when the files do not fit", func(spoil func()) {
+		client, server := vm1.ClientTLS(anyone), listen(anyone)
+		spoil()
+		Expect(vm1.Reload()).NotTo(Succeed())
+		Expect(vm1.Counters().ReloadFailures).To(Equal(uint64(1)))
+		Expect(vm1.events).To(ContainElement(event.CredentialsReloadFailed))
+		succeed(client, server)
+		_, err := identity.Open(vm1.files, time.Now, nil)
+		Expect(err).To(HaveOccurred())
+	},
+		Entry("missing key", func() { Expect(os.Remove(vm1.files.Key)).To(Succeed()) }),
+		Entry("half replaced", func() {
+			_, key, err := fleet.Issue(start, balancer)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(os.WriteFile(vm1.files.Key, key, 0o600)).To(Succeed())
+		}),
+		Entry("authority of another fleet", func() { vm1.trust(newAuthority()) }),
+		Entry("three authorities", func() { vm1.trust(fleet, newAuthority(), newAuthority()) }),
+		Entry("no authority", func() { vm1.trust() }),
+		Entry("a certificate as authority", func() {
+			p, _, err := fleet.Issue(start, balancer)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(os.WriteFile(vm1.files.Authorities, append(fleet.PEM(), p...), 0o600)).To(Succeed())
+		}),
+		Entry("no name", func() { vm1.write(fleet, identity.Peer{Role: currantturn.RoleAgent}) }),
+		Entry("unknown role", func() { vm1.write(fleet, identity.Peer{Role: "operator", Name: "vm-1"}) }),
+		Entry("too large", func() {
+			Expect(os.WriteFile(vm1.files.Authorities, append(fleet.PEM(), make([]byte, 2<<20)...), 0o600)).To(Succeed())
+		}),
+	)
+
+	It("reports a certificate that ends soon and takes its successor", func() {
+		vm1.now = vm1.now.Add(authority.Lifetime - identity.ExpiryNotice + time.Second)
+		Expect(vm1.Reload()).To(Succeed())
+		vm1.write(fleet, balancer)
+		Expect(vm1.Reload()).To(Succeed())
+		Expect(vm1.Reload()).To(Succeed())
+		Expect(vm1.events).To(Equal([]int{event.CertificateExpiring, event.CredentialsReloaded}))
+	})
+
+	It("carries QUIC streams between two processes", func(ctx SpecContext) {
+		ln, err := quic.ListenAddr("127.0.0.1:0", listen(identity.Only(balancer)), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = ln.Close() }()
+		dial := func(p *process) error {
+			c, err := quic.DialAddr(ctx, ln.Addr().String(), p.ClientTLS(identity.Only(agent)), nil)
+			if err != nil {
+				return err
+			}
+			_, err = c.AcceptUniStream(ctx)
+			_ = c.CloseWithError(0, "")
+			return err
+		}
+		go func() {
+			for c, err := ln.Accept(context.Background()); err == nil; c, err = ln.Accept(context.Background()) {
+				if s, err := c.OpenUniStream(); err == nil {
+					_, _ = s.Write([]byte{1})
+				}
+			}
+		}()
+		Expect(dial(vm1)).To(Succeed())
+		other, err := open(fleet, identity.Peer{Role: currantturn.RoleBalancer, Name: "vm-2"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dial(other)).NotTo(Succeed())
+	}, SpecTimeout(10*time.Second))
+})
