--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,9 @@
 	"github.com/currantturn/currantturn/internal/audit"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/standin/authority"
 	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/identity"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
@@ -160,6 +163,22 @@
 	})
 })
 
+// issue writes a certificate of the authority, its key and the authority into
+// a directory.
+func issue(a *authority.Authority, dir string) admin.Credentials {
+	GinkgoHelper()
+	f, err := a.Write(time.Now(), dir, identity.Peer{Role: currantturn.RoleAgent, Name: "verify-1"})
+	Expect(err).NotTo(HaveOccurred())
+	return admin.Credentials{CAFile: f.Authorities, CertificateFile: f.Certificate, KeyFile: f.Key}
+}
+
+func newAuthority() *authority.Authority {
+	GinkgoHelper()
+	a, err := authority.New(time.Now())
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
 var _ = Describe("mutual TLS", func() {
 	It("is not left out by accident", func() {
 		for _, opts := range []admin.Options{
@@ -174,7 +193,8 @@
 
 	It("admits certificates of its authority only, and reports the others", func() {
 		fleet, other := newAuthority(), newAuthority()
-		files := fleet.issue("server")
+		dir := GinkgoT().TempDir()
+		files := issue(fleet, dir)
 		cfg, err := files.ServerTLS()
 		Expect(err).NotTo(HaveOccurred())
 		refused := make(chan currantturn.Event, 8)
@@ -184,15 +204,14 @@
 			_, err := admin.NewClient(address, cfg).Status(context.Background())
 			return err
 		}
-		operator := fleet.issue("operator")
-		good, err := operator.ClientTLS()
+		good, err := issue(fleet, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read(good)).To(Succeed())
 
 		anonymous := good.Clone()
 		anonymous.Certificates = nil
 		Expect(read(anonymous)).To(MatchError(currantturn.ErrUnavailable))
-		foreign, err := other.issue("operator").ClientTLS()
+		foreign, err := issue(other, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		foreign.RootCAs = good.RootCAs
 		Expect(read(foreign)).To(MatchError(currantturn.ErrUnavailable))
@@ -203,16 +222,20 @@
 			Expect(event.Check(e)).To(Succeed())
 		}
 
+		By("keeping the earlier files while the new ones do not fit each other")
+		Expect(os.WriteFile(files.KeyFile, nil, 0o600)).To(Succeed())
+		Expect(read(good)).To(Succeed())
+
 		By("using files replaced since its start")
-		other.replace(files)
+		issue(other, dir)
 		Expect(read(good)).To(MatchError(currantturn.ErrUnavailable))
-		renewed, err := other.issue("operator").ClientTLS()
+		renewed, err := issue(other, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read(renewed)).To(Succeed())
 	})
 
 	It("names the file that does not load", func() {
-		files := newAuthority().issue("server")
+		files := issue(newAuthority(), GinkgoT().TempDir())
 		files.CAFile = files.KeyFile
 		_, err := files.ServerTLS()
 		Expect(err).To(MatchError(currantturn.ErrMalformed))
--- a/internal/admin/credentials.go
+++ b/internal/admin/credentials.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
+	"sync/atomic"
 
 	"github.com/currantturn/currantturn"
 	"github.com/rotisserie/eris"
@@ -17,16 +18,23 @@
 }
 
 // ServerTLS returns a configuration that requires a client certificate of the
-// authority; the files are read at each handshake, so that they can be replaced.
+// authority; the files are read at each handshake, so that they can be replaced,
+// and the last ones that fit each other are used.
 func (c Credentials) ServerTLS() (*tls.Config, error) {
-	if _, err := c.loadServer(); err != nil {
+	first, err := c.loadServer()
+	if err != nil {
 		return nil, err
 	}
+	var last atomic.Pointer[tls.Config]
+	last.Store(first)
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		ClientAuth: tls.RequireAndVerifyClientCert,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return c.loadServer()
+			if cfg, err := c.loadServer(); err == nil {
+				last.Store(cfg)
+			}
+			return last.Load(), nil
 		},
 	}, nil
 }
