Judge a patch by the command line before it is published

Cause: operators want the verdict and the changes beforehand. The log is folded by pkg/patch, the same fold that every process runs; the check tells besides when the log has gone on since the version asked about, because the verdict holds for that version only. A log file is JSON records one after another or in an array, with the patch as JSON or in base64.

--- a/cmd/currantturn/hooks.go
+++ b/cmd/currantturn/hooks.go
@@ -13,7 +13,7 @@
 
 // hooks connects the command line to what the commands do.
 func hooks() command.Hooks {
-	return command.Hooks{Try: runTry}
+	return command.Hooks{Try: runTry, CheckPatch: checkPatch}
 }
 
 func runTry(ctx context.Context, o command.TryOptions, out, progress io.Writer) error {
--- /dev/null
+++ b/cmd/currantturn/patch_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/pkg/patch"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestCurrantturn(t *testing.T) { suite.Run(t, "currantturn") }
+
+func published(builds currantturn.Version, ops ...patch.Operation) []byte {
+	GinkgoHelper()
+	p, err := patch.Encode(&patch.Patch{BuildsOn: builds, Operations: ops})
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+func addVerify() patch.Operation {
+	var servers []currantturn.BackendServer
+	for i, id := range []currantturn.BackendID{"verify-1", "verify-2"} {
+		ip := netip.AddrFrom4([4]byte{192, 0, 2, byte(20 + i)})
+		servers = append(servers, currantturn.BackendServer{
+			ID: id, FailureDomain: "upanga", Slots: 3, Weight: 1,
+			Agent: netip.AddrPortFrom(ip, 7000), Stream: netip.AddrPortFrom(ip, 7443),
+		})
+	}
+	return patch.AddService{
+		Service: "verify", Addresses: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:443")}, BackendServers: servers,
+	}
+}
+
+func record(position int, patch string) string {
+	return fmt.Sprintf(`{"position":%d,"author":"asha","time":"2026-01-02T03:04:05Z","patch":%s}`, position, patch)
+}
+
+var _ = Describe("patch check", func() {
+	// check judges a drain of verify-1 against a version of a log.
+	check := func(log string, against int) (code int, text string) {
+		GinkgoHelper()
+		dir := GinkgoT().TempDir()
+		logFile, patchFile := filepath.Join(dir, "log"), filepath.Join(dir, "patch.json")
+		Expect(os.WriteFile(logFile, []byte(log), 0o600)).To(Succeed())
+		drain := published(1, patch.Drain{Service: "verify", ID: "verify-1"})
+		Expect(os.WriteFile(patchFile, drain, 0o600)).To(Succeed())
+		var out bytes.Buffer
+		p := command.New(hooks())
+		p.Out, p.Err = &out, &out
+		code = p.Run(context.Background(), []string{
+			"currantturn", "patch", "check", patchFile, "--against", fmt.Sprint(against), "--log", logFile,
+		})
+		return code, out.String()
+	}
+	add := func() string { return string(published(0, addVerify())) }
+	encoded := func() string { return `"` + base64.StdEncoding.EncodeToString([]byte(add())) + `"` }
+
+	It("accepts what would be in force, from each form of a log", func() {
+		bad := record(2, `{"builds_on":0,"operations":[]}`)
+		for _, log := range []string{
+			record(1, add()),
+			record(1, encoded()),
+			record(1, add()) + "\n" + bad,
+			"[" + record(1, add()) + "," + bad + "]",
+		} {
+			code, text := check(log, 1)
+			Expect(code).To(Equal(command.ExitOK), text)
+			Expect(text).To(Equal("in force as version 2\n~ service verify, backend server verify-1: state active -> draining\n"))
+		}
+	})
+
+	It("rejects a patch that builds on another version", func() {
+		code, text := check(record(1, add()), 0)
+		Expect(code).To(Equal(command.ExitRejected))
+		Expect(text).To(HavePrefix("rejected; version 0 stays in force\n! "))
+	})
+
+	It("tells when the log has gone on", func() {
+		weight := published(1, patch.SetWeight{Service: "verify", ID: "verify-2", Weight: 2})
+		code, text := check(record(1, add())+record(2, string(weight)), 1)
+		Expect(code).To(Equal(command.ExitOK))
+		Expect(text).To(HaveSuffix("note: the log has reached version 2, which a patch must build on now\n"))
+	})
+
+	DescribeTable("refuses a log that it cannot use", func(log string, against int, text string) {
+		code, got := check(log, against)
+		Expect(code).To(Equal(command.ExitBadInput))
+		Expect(got).To(ContainSubstring(text))
+	},
+		Entry("too short", "", 1, "ends at version 0, before version 1"),
+		Entry("not JSON", "position 1", 1, "invalid character"),
+		Entry("cut", `[{"position":1`, 1, "unexpected EOF"),
+		Entry("with a gap", record(2, "{}"), 1, "position 2 after 0"),
+		Entry("with bad base64", record(1, `"%"`), 1, "illegal base64"),
+	)
+})
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/netip"
 	"os"
@@ -55,13 +54,10 @@
 
 func verdict(accepted bool) func(context.Context, command.PatchCheck) (*command.PatchVerdict, error) {
 	return func(_ context.Context, c command.PatchCheck) (*command.PatchVerdict, error) {
-		v := &command.PatchVerdict{Accepted: accepted, Changes: []string{"backend server verify-1 drains"}}
 		if accepted {
-			v.Version = c.Against + 1
-		} else {
-			v.Reason = "builds on version " + fmt.Sprint(c.Against) + ", not 9"
+			return &command.PatchVerdict{Accepted: true, Version: c.Against + 1, Head: c.Against, Changes: []string{"~ verify-1"}}, nil
 		}
-		return v, nil
+		return &command.PatchVerdict{Version: c.Against, Head: 9, Reasons: []string{"unknown service"}}, nil
 	}
 }
 
@@ -85,8 +81,8 @@
 		Entry("completion", command.Hooks{}, "completion bash", 0, "completion script"),
 		Entry("good settings", command.Hooks{}, "settings check "+settingsDir+"agent.ini", 0, "127.0.0.1:8080"),
 		Entry("process that ends", failing(nil), "balancer --settings "+settingsDir+"balancer.ini", 0, "process_stopped"),
-		Entry("accepted patch", command.Hooks{CheckPatch: verdict(true)}, patchCheck, 0, "in force as version 8\n  backend server verify-1 drains\n"),
-		Entry("rejected patch", command.Hooks{CheckPatch: verdict(false)}, patchCheck, 1, "rejected: builds on version 7, not 9\n"),
+		Entry("accepted patch", command.Hooks{CheckPatch: verdict(true)}, patchCheck, 0, "in force as version 8\n~ verify-1\n"),
+		Entry("rejected patch", command.Hooks{CheckPatch: verdict(false)}, patchCheck, 1, "rejected; version 7 stays in force\n! unknown service\nnote: the log has reached version 9, which a patch must build on now\n"),
 		Entry("rejected patch as JSON", command.Hooks{CheckPatch: verdict(false)}, patchCheck+" --format json", 1, `"accepted": false`),
 		Entry("failed invariant", failing(eris.Wrap(command.ErrRejected, "2 wrong answers")), "try polepa", 1, "2 wrong answers"),
 		Entry("no command", command.Hooks{}, "", 2, "a command is missing"),
--- a/internal/command/hooks.go
+++ b/internal/command/hooks.go
@@ -47,9 +47,10 @@
 // PatchVerdict is the verdict on a patch.
 type PatchVerdict struct {
 	Accepted bool                `json:"accepted"`
-	Version  currantturn.Version `json:"version"` // that the patch would make
-	Reason   string              `json:"reason,omitempty"`
-	Changes  []string            `json:"changes"`
+	Version  currantturn.Version `json:"version"` // in force after the patch
+	Head     currantturn.Version `json:"head"`    // that the log ends at
+	Reasons  []string            `json:"reasons,omitempty"`
+	Changes  []string            `json:"changes,omitempty"`
 }
 
 // Hooks are what the commands do.
--- a/internal/command/patch.go
+++ b/internal/command/patch.go
@@ -44,13 +44,12 @@
 	if p.Hooks.CheckPatch == nil {
 		return eris.Wrap(ErrNotWired, "patch check")
 	}
-	verdict, err := p.Hooks.CheckPatch(ctx, PatchCheck{
-		Patch: patch, Against: currantturn.Version(c.Uint64("against")), Log: c.String("log"),
-	})
+	against := currantturn.Version(c.Uint64("against"))
+	verdict, err := p.Hooks.CheckPatch(ctx, PatchCheck{Patch: patch, Against: against, Log: c.String("log")})
 	if err != nil {
 		return err
 	}
-	if err := p.printVerdict(verdict, formatOf(c)); err != nil {
+	if err := p.printVerdict(verdict, against, formatOf(c)); err != nil {
 		return err
 	}
 	if !verdict.Accepted {
@@ -75,17 +74,23 @@
 	return p, nil
 }
 
-func (p *Program) printVerdict(v *PatchVerdict, format Format) error {
+func (p *Program) printVerdict(v *PatchVerdict, against currantturn.Version, format Format) error {
 	if format == FormatJSON {
 		return p.printJSON(v)
 	}
 	if v.Accepted {
 		fmt.Fprintf(p.Out, "in force as version %d\n", v.Version)
 	} else {
-		fmt.Fprintf(p.Out, "rejected: %s\n", v.Reason)
+		fmt.Fprintf(p.Out, "rejected; version %d stays in force\n", v.Version)
+	}
+	for _, reason := range v.Reasons {
+		fmt.Fprintf(p.Out, "! %s\n", reason)
 	}
 	for _, change := range v.Changes {
-		fmt.Fprintf(p.Out, "  %s\n", change)
+		fmt.Fprintf(p.Out, "%s\n", change)
+	}
+	if v.Head > against {
+		fmt.Fprintf(p.Out, "note: the log has reached version %d, which a patch must build on now\n", v.Head)
 	}
 	return nil
 }
