--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -58,12 +58,12 @@
 
 // Counters are a gate's totals since its start.
 type Counters struct {
-	Admitted uint64 `json:"admitted"`
-	Queued   uint64 `json:"queued"`
-	Shed     uint64 `json:"shed"`
-	Expired  uint64 `json:"expired"`
-	Spilled  uint64 `json:"spilled"`
-	Watches  uint64 `json:"watches"`
+	Admitted uint64 `json:"admitted"` // requests given a slot
+	Queued   uint64 `json:"queued"`   // requests that waited for a slot
+	Shed     uint64 `json:"shed"`     // requests refused for want of a slot
+	Expired  uint64 `json:"expired"`  // requests whose deadline could not be met
+	Spilled  uint64 `json:"spilled"`  // requests passed to a peer
+	Watches  uint64 `json:"watches"`  // answers without end admitted
 }
 
 // New returns a gate whose backend server has just started.
--- a/internal/coordination/claim/counters.go
+++ b/internal/coordination/claim/counters.go
@@ -8,13 +8,13 @@
 
 // Counters are the totals of a Claims machine since its start.
 type Counters struct {
-	Granted    uint64 `json:"granted"`
-	Fenced     uint64 `json:"fenced"`
-	Full       uint64 `json:"full"`
-	Unanswered uint64 `json:"unanswered"`
-	Records    int    `json:"records"`
-	Bytes      int    `json:"bytes"`
-	Attempts   int    `json:"attempts"`
+	Granted    uint64 `json:"granted"`    // keys granted to a runner
+	Fenced     uint64 `json:"fenced"`     // keys given up to a newer owner before a grant
+	Full       uint64 `json:"full"`       // keys refused by a full store
+	Unanswered uint64 `json:"unanswered"` // attempts that ended without their owner's answer
+	Records    int    `json:"records"`    // records at present
+	Bytes      int    `json:"bytes"`      // bytes that the records reserve at present
+	Attempts   int    `json:"attempts"`   // attempts at present, unconfirmed reports included
 }
 
 // Counters returns the totals so far.
--- a/internal/transport/request/counters.go
+++ b/internal/transport/request/counters.go
@@ -13,16 +13,16 @@
 
 // Counters are a handler's totals since its start, by outcome and cause.
 type Counters struct {
-	Answered     uint64 `json:"answered"`
-	NotRun       uint64 `json:"not_run"`
-	PastDeadline uint64 `json:"past_deadline"`
-	Unknown      uint64 `json:"outcome_unknown"`
-	Other        uint64 `json:"other"`
-	Repeated     uint64 `json:"repeated"`
-	Cut          uint64 `json:"cut"`
-	Retries      uint64 `json:"retries"`
-	Suppressed   uint64 `json:"suppressed"`
-	HeldBytes    int64  `json:"held_bytes"`
+	Answered     uint64 `json:"answered"`        // requests told the backend server's answer
+	NotRun       uint64 `json:"not_run"`         // requests told not run
+	PastDeadline uint64 `json:"past_deadline"`   // requests told past deadline
+	Unknown      uint64 `json:"outcome_unknown"` // requests told outcome unknown
+	Other        uint64 `json:"other"`           // requests told any other outcome
+	Repeated     uint64 `json:"repeated"`        // requests answered from a record
+	Cut          uint64 `json:"cut"`             // answers cut off by the backend server, a peer or the caller
+	Retries      uint64 `json:"retries"`         // retries of idempotent requests
+	Suppressed   uint64 `json:"suppressed"`      // retries that the budget did not allow
+	HeldBytes    int64  `json:"held_bytes"`      // bytes of request bodies held at present
 }
 
 func (c *counts) add(o protocol.Outcome) {
