Let status show members, flows, verdicts and the audit trail

Cause: the API served them and only curl could read them. One generic reader takes the place of a client method for each resource. Texts that publishers chose are printed without control characters (seen to reach the terminal before).

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -95,13 +95,26 @@
 	return w.StatusCode, string(text)
 }
 
-func TestStatusText(t *testing.T) {
-	var b bytes.Buffer
-	s := status()
-	if err := s.WriteText(&b); err != nil {
-		t.Fatal(err)
+func TestText(t *testing.T) {
+	p := providers()
+	for name, write := range map[string]func(io.Writer) error{
+		"status_text":   func(w io.Writer) error { s := status(); return s.WriteText(w) },
+		"members_text":  func(w io.Writer) error { return admin.WriteMembers(w, p.Members(1)) },
+		"flows_text":    func(w io.Writer) error { return admin.WriteFlows(w, []admin.BackendFlows{{"verify", "verify-1", 7}}) },
+		"verdicts_text": func(w io.Writer) error { return admin.WriteVerdicts(w, p.Verdicts(1)) },
+		"audit_text": func(w io.Writer) error {
+			return admin.WriteAudit(w, []audit.Entry{
+				{Position: 1, Author: "asha", Published: start, Seen: start, Verdict: audit.Accepted, Version: 1, InForce: start},
+				{Position: 2, Author: "juma\t\x1b[2J", Published: start, Seen: start, Verdict: audit.Pending},
+			})
+		},
+	} {
+		var b bytes.Buffer
+		if err := write(&b); err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, name, b.Bytes())
 	}
-	goldie.New(t).Assert(t, "status_text", b.Bytes())
 }
 
 var _ = Describe("resources", func() {
@@ -152,13 +165,14 @@
 
 	It("is read by its client", func() {
 		c := admin.NewClient(serve(admin.Options{Insecure: true, Providers: providers()}), nil)
-		s, err := c.Status(context.Background())
+		s, err := admin.Read[admin.Status](context.Background(), c, admin.PathStatus)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s).To(Equal(status()))
-		m, err := c.Members(context.Background())
+		m, err := admin.Read[[]admin.Member](context.Background(), c, admin.PathMembers)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(m).To(HaveLen(1))
-		_, err = admin.NewClient(serve(admin.Options{Insecure: true}), nil).Status(context.Background())
+		c = admin.NewClient(serve(admin.Options{Insecure: true}), nil)
+		_, err = admin.Read[admin.Status](context.Background(), c, admin.PathStatus)
 		Expect(err).To(MatchError(currantturn.ErrUnavailable))
 	})
 })
@@ -201,7 +215,7 @@
 		address := serve(admin.Options{TLS: cfg, Providers: providers(), Report: func(e currantturn.Event) { refused <- e }})
 
 		read := func(cfg *tls.Config) error {
-			_, err := admin.NewClient(address, cfg).Status(context.Background())
+			_, err := admin.Read[admin.Status](context.Background(), admin.NewClient(address, cfg), admin.PathStatus)
 			return err
 		}
 		good, err := issue(fleet, GinkgoT().TempDir()).ClientTLS()
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -37,34 +37,13 @@
 	}
 }
 
-// Status reads the state of the process.
-func (c *Client) Status(ctx context.Context) (Status, error) {
-	var s Status
-	err := c.get(ctx, PathStatus, &s)
-	return s, err
-}
-
-// Members reads the processes that the process knows.
-func (c *Client) Members(ctx context.Context) ([]Member, error) {
-	var m []Member
-	err := c.get(ctx, PathMembers, &m)
-	return m, err
-}
-
-// Verdicts reads the newest verdicts of the process.
-func (c *Client) Verdicts(ctx context.Context) ([]Verdict, error) {
-	var v []Verdict
-	err := c.get(ctx, PathVerdicts, &v)
+// Read returns one resource of the API, such as a Status from PathStatus.
+func Read[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var v T
+	err := c.get(ctx, path, &v)
 	return v, err
 }
 
-// Flows reads the flows that the process knows, by backend server.
-func (c *Client) Flows(ctx context.Context) ([]BackendFlows, error) {
-	var f []BackendFlows
-	err := c.get(ctx, PathFlows, &f)
-	return f, err
-}
-
 func (c *Client) get(ctx context.Context, path string, into any) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
--- a/internal/admin/text.go
+++ b/internal/admin/text.go
@@ -12,9 +12,13 @@
 
 const textPadding = 2
 
+func newTable(w io.Writer) *tabwriter.Writer {
+	return tabwriter.NewWriter(w, 0, 0, textPadding, ' ', 0)
+}
+
 // WriteText prints a status for people.
 func (s *Status) WriteText(w io.Writer) error {
-	tab := tabwriter.NewWriter(w, 0, 0, textPadding, ' ', 0)
+	tab := newTable(w)
 	row := func(name, format string, args ...any) {
 		fmt.Fprintf(tab, "%s\t%s\n", name, fmt.Sprintf(format, args...))
 	}
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -95,6 +95,8 @@
 		Entry("absent settings", command.Hooks{}, "agent --settings absent.ini", 2, "absent.ini: "),
 		Entry("settings of the other role", command.Hooks{}, "agent --settings "+settingsDir+"balancer.ini", 2, "[process] role: is balancer, not agent"),
 		Entry("bad format", command.Hooks{}, "status --admin 127.0.0.1:1 --format xml", 2, `"xml" is neither text nor json`),
+		Entry("bad view", command.Hooks{}, "status --admin 127.0.0.1:1 --show all", 2, `"all" is not one of`),
+		Entry("no process to show a trail of", command.Hooks{}, "status --insecure --admin 127.0.0.1:1 --show audit", 3, "unavailable"),
 		Entry("bad address", command.Hooks{}, "status --admin localhost", 2, `"localhost" is not an IP address`),
 		Entry("no certificates", command.Hooks{}, "status --admin 127.0.0.1:1", 2, "--ca is missing"),
 		Entry("absent patch", command.Hooks{CheckPatch: verdict(true)}, "patch check absent --against 7 --log x", 2, "absent"),
@@ -143,14 +145,19 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:0"), Insecure: true,
 			Providers: admin.Providers{Status: func() admin.Status {
 				return admin.Status{Name: "entry-1", Role: currantturn.RoleBalancer, Serving: true}
+			}, Flows: func(int) []admin.BackendFlows {
+				return []admin.BackendFlows{{Service: "verify", Backend: "verify-1", Flows: 7}}
 			}},
 		})
 		Expect(err).NotTo(HaveOccurred())
 		go func() { _ = s.Serve() }()
 		DeferCleanup(func() { Expect(s.Shutdown(context.Background())).To(Succeed()) })
-		for format, text := range map[string]string{"text": "serving, up 0s", "json": `"serving": true`} {
+		for flags, text := range map[string]string{
+			"": "serving, up 0s", "--format json": `"serving": true`,
+			"--show flows": "verify   verify-1  7\n", "--show flows --format json": `"flows": 7`,
+		} {
 			p, out, _ := program(command.Hooks{})
-			Expect(run(p, "status --insecure --admin "+s.Address().String()+" --format "+format)).To(Equal(command.ExitOK))
+			Expect(run(p, "status --insecure --admin "+s.Address().String()+" "+flags)).To(Equal(command.ExitOK))
 			Expect(out.String()).To(ContainSubstring(text))
 		}
 	})
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
+	"io"
 	"net/netip"
 
 	"github.com/currantturn/currantturn/internal/admin"
@@ -19,6 +21,15 @@
 			&cli.StringFlag{Name: "certificate", Usage: "`FILE` of the operator's certificate, PEM", TakesFile: true},
 			&cli.StringFlag{Name: "key", Usage: "`FILE` of the operator's private key, PEM", TakesFile: true},
 			&cli.BoolFlag{Name: "insecure", Usage: "read without TLS; for processes with [admin] insecure = true"},
+			&cli.StringFlag{
+				Name: "show", Value: showSummary, Usage: "summary, members, flows, verdicts or audit",
+				Validator: func(s string) error {
+					if views[s] == nil {
+						return fmt.Errorf("%q is not one of: summary, members, flows, verdicts, audit", s)
+					}
+					return nil
+				},
+			},
 			formatFlag(),
 		},
 		Action: p.status,
@@ -39,14 +50,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	s, err := admin.NewClient(address, cfg).Status(ctx)
-	if err != nil {
-		return err
-	}
-	if formatOf(c) == FormatJSON {
-		return p.printJSON(s)
+	return views[c.String("show")](ctx, p, admin.NewClient(address, cfg), formatOf(c))
+}
+
+const showSummary = "summary"
+
+// view reads one resource and prints it.
+type view func(ctx context.Context, p *Program, c *admin.Client, f Format) error
+
+var views = map[string]view{
+	showSummary: viewOf(admin.PathStatus, func(w io.Writer, s admin.Status) error { return s.WriteText(w) }),
+	"members":   viewOf(admin.PathMembers, admin.WriteMembers),
+	"flows":     viewOf(admin.PathFlows, admin.WriteFlows),
+	"verdicts":  viewOf(admin.PathVerdicts, admin.WriteVerdicts),
+	"audit":     viewOf(admin.PathAudit, admin.WriteAudit),
+}
+
+func viewOf[T any](path string, write func(io.Writer, T) error) view {
+	return func(ctx context.Context, p *Program, c *admin.Client, f Format) error {
+		v, err := admin.Read[T](ctx, c, path)
+		if err != nil {
+			return err
+		}
+		if f == FormatJSON {
+			return p.printJSON(v)
+		}
+		return write(p.Out, v)
 	}
-	return s.WriteText(p.Out)
 }
 
 func clientTLS(c *cli.Command) (*tls.Config, error) {
