--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -24,6 +24,8 @@
 	Seed    uint64                  // of its random choices
 	ConnIDs *connid.Codec           // reads connection IDs of QUIC
 	Load    func() currantturn.Load // requests as the agent sees them
+	// PeerLoad gets the loads that other agents tell; nil for none.
+	PeerLoad func(now time.Time, id currantturn.BackendID, load currantturn.Load)
 	Records int                     // bound of the flow table
 	Idle    time.Duration           // after which a silent flow ends
 	Assert  bool                    // reports broken invariants as events
@@ -60,7 +62,9 @@
 		opts:    opts,
 		table:   flow.NewTable(opts.Records),
 		ids:     flow.NewInterner(),
-		members: membership.New(membership.Options{ID: opts.ID, Service: opts.Service, Seed: opts.Seed}),
+		members: membership.New(membership.Options{
+			ID: opts.ID, Service: opts.Service, Seed: opts.Seed, Heard: opts.PeerLoad,
+		}),
 	}
 	for i := range a.searches {
 		a.searches[i] = make(map[uint64]*search)
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -17,6 +17,9 @@
 	ID      currantturn.BackendID
 	Service currantturn.ServiceName
 	Seed    uint64
+	// Heard gets each load that a member tells; nil for none. It must not call
+	// the list.
+	Heard func(now time.Time, id currantturn.BackendID, load currantturn.Load)
 }
 
 // Member is one agent of the service as this process knows it.
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -235,12 +235,25 @@
 	m.heard = now
 	m.Load = load
 	m.Recent = 0
+	l.pass(now, m)
 	if !m.silent.IsZero() {
 		out.Event(event.ChannelRestored, event.F("peer", u.ID), event.F("elapsed", now.Sub(m.silent)))
 		m.silent = time.Time{}
 	}
 }
 
+// pass hands a member's load on; one that takes no new work has no slots.
+func (l *List) pass(now time.Time, m *Member) {
+	if l.opts.Heard == nil {
+		return
+	}
+	load := m.Load
+	if !m.MayTakeWork() {
+		load.Slots = 0
+	}
+	l.opts.Heard(now, m.Server.ID, load)
+}
+
 // told takes from a peer at a newer version that this process is draining.
 func (l *List) told(now time.Time, v currantturn.Version, draining bool) {
 	if !draining || v <= l.version || v <= l.toldAt {
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -3,40 +3,66 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/admission"
 	"github.com/currantturn/currantturn/internal/coordination/agent"
+	"github.com/currantturn/currantturn/internal/coordination/claim"
+	"github.com/currantturn/currantturn/internal/coordination/limit"
+	"github.com/currantturn/currantturn/internal/transport/identity"
 	"github.com/currantturn/currantturn/internal/transport/link"
-	"github.com/rotisserie/eris"
+	"github.com/currantturn/currantturn/internal/transport/probe"
+	"github.com/currantturn/currantturn/internal/transport/request"
 )
 
-// AgentOptions are the parts of an agent process.
+// AgentOptions are the parts of an agent process; a zero bound takes its
+// package's default.
 type AgentOptions struct {
 	ID        currantturn.BackendID
 	Service   currantturn.ServiceName
 	Domain    currantturn.FailureDomain
 	Link      netip.AddrPort
 	Advertise netip.AddrPort
+	Stream    netip.AddrPort // where peers pass requests
 	Backend   netip.AddrPort // HTTP address of the backend server
+	Prober    *probe.Prober  // nil without health and load endpoints
 	CallerTLS *tls.Config
+	Identity  *identity.Identity
 	Sealer    currantturn.Sealer
 	Secrets   Secrets
 	Seed      uint64 // of random choices
 	Assert    bool   // report broken invariants
+	Records   int    // flow records
+	FlowIdle  time.Duration
+	Retention time.Duration // of claims, outcomes and answers
+	ClaimSize int           // bytes of the record store
+	ClockSkew time.Duration
+	Watches   int
+	ColdFor   time.Duration
+	Limits    limit.Limits
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
 
 // Agent is a running agent process.
+//
+//	flowconn -> QUIC -> limiter -> request.Handler -> claims, gate -> backend server
+//	                                     |
+//	                                     +-> a peer's request.PeerServer
 type Agent struct {
 	node     *node
 	opts     AgentOptions
 	machine  *agent.Agent
-	handler  http.Handler
+	claims   *claim.Claims
+	gate     *admission.Gate
+	limiter  *limit.Limiter
+	handler  *request.Handler
+	peers    *request.PeerServer
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	services map[netip.AddrPort]*front
@@ -44,41 +70,74 @@
 
 // StartAgent binds the sockets and starts an agent.
 func StartAgent(opts AgentOptions) (*Agent, error) {
-	n := newNode(opts.Clock, opts.Report)
-	l, err := link.Open(link.Options{
-		Listen: opts.Link, Advertise: opts.Advertise, Sealer: opts.Sealer, Names: n.names, Clock: opts.Clock,
-	})
+	n, err := openNode(opts.Link, opts.Advertise, opts.Sealer, opts.Clock, opts.Report)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{node: n, opts: opts, services: make(map[netip.AddrPort]*front)}
+	a.assemble(n.link)
+	a.peers, err = request.StartPeers(
+		opts.Stream, opts.Identity.ServerTLS(identity.AnyOf(currantturn.RoleAgent)), a.handler.Peer())
 	if err != nil {
+		_ = n.link.Close()
 		return nil, err
 	}
-	n.link = l
-	forward := newForwarder(opts.Backend)
-	machine := agent.New(agent.Options{
+	n.router, n.answerer, n.deliver = a.machine, a.machine, a.deliver
+	n.add(a.machine, agent.Kinds()...)
+	n.add(a.claims, claim.Kinds...)
+	n.add(a.gate)
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	n.start(ctx)
+	go a.probe(ctx)
+	return a, nil
+}
+
+// assemble makes the machines, which all decide without I/O.
+func (a *Agent) assemble(l *link.Link) {
+	opts, now := &a.opts, a.opts.Clock()
+	a.gate = admission.New(admission.Options{
 		ID:      opts.ID,
 		Service: opts.Service,
-		Self:    l.Self(),
-		Key:     opts.Secrets.Rank,
-		Seed:    opts.Seed,
-		ConnIDs: opts.Secrets.ConnIDs,
-		Load:    forward.load,
-		Assert:  opts.Assert,
+		Started: now,
+		ColdFor: opts.ColdFor,
+		Watches: opts.Watches,
+		Rand:    rand.New(rand.NewPCG(opts.Seed, 1)),
+	})
+	a.claims = claim.New(claim.Options{
+		Service:     opts.Service,
+		Self:        l.Self(),
+		Incarnation: uint64(now.UnixNano()),
+		Started:     now,
+		Key:         opts.Secrets.Rank,
+		Retention:   opts.Retention,
+		Bytes:       opts.ClaimSize,
+		ClockSkew:   opts.ClockSkew,
+	})
+	a.machine = agent.New(agent.Options{
+		ID:       opts.ID,
+		Service:  opts.Service,
+		Self:     l.Self(),
+		Key:      opts.Secrets.Rank,
+		Seed:     opts.Seed,
+		ConnIDs:  opts.Secrets.ConnIDs,
+		Load:     func() currantturn.Load { return a.gate.Load(opts.Clock()) },
+		PeerLoad: a.gate.PeerLoad,
+		Records:  opts.Records,
+		Idle:     opts.FlowIdle,
+		Assert:   opts.Assert,
+	})
+	a.limiter = limit.New(opts.Limits, opts.Secrets.Rank)
+	a.handler = request.New(request.Options{
+		Service: opts.Service,
+		Backend: opts.Backend,
+		Claims:  a.claims,
+		Gate:    a.gate,
+		PeerTLS: opts.Identity.ClientTLS(identity.AnyOf(currantturn.RoleAgent)),
+		Clock:   opts.Clock,
+		Carry:   a.node.carry,
+		Rand:    rand.New(rand.NewPCG(opts.Seed, 2)),
 	})
-	n.router = machine
-	n.answerer = machine
-	n.add(machine, agent.Kinds()...)
-	ctx, cancel := context.WithCancel(context.Background())
-	a := &Agent{
-		node:     n,
-		opts:     opts,
-		machine:  machine,
-		handler:  forward,
-		cancel:   cancel,
-		services: make(map[netip.AddrPort]*front),
-	}
-	n.deliver = a.deliver
-	l.Start(n, linkReaders)
-	go n.tick(ctx)
-	return a, nil
 }
 
 // Link is the address by which peers know the agent.
@@ -86,55 +145,65 @@
 	return a.node.link.Self()
 }
 
+// Stream is the address at which peers pass requests.
+func (a *Agent) Stream() netip.AddrPort {
+	return a.peers.Addr()
+}
+
 // Configure puts a configuration in force.
 func (a *Agent) Configure(v *currantturn.View) {
+	if s := v.Service(a.opts.Service); s != nil {
+		limits := a.opts.Limits
+		limits.CallerFlows = s.Limits.FlowsPerCaller
+		limits.HostFlows = s.Limits.FlowsPerBackend
+		a.limiter.Configure(limits)
+	}
 	a.node.configure(v)
 }
 
 // deliver hands a caller's packet to the QUIC server of its service address.
 func (a *Agent) deliver(p *currantturn.Packet) {
-	f := a.front(p.Flow.Service)
-	f.conn.Deliver(p.Flow.Caller, p.Payload)
+	if f := a.front(p.Flow.Service); f != nil {
+		f.conn.Deliver(p.Flow.Caller, p.Payload)
+	}
 }
 
+// front returns the server of a service address, or nil after a stop.
 func (a *Agent) front(service netip.AddrPort) *front {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := a.services[service]
-	if f == nil {
-		f = newFront(service, a.opts, a.handler, a.node.answer)
+	if f == nil && a.services != nil {
+		f = newFront(service, a)
 		a.services[service] = f
 	}
 	return f
 }
 
-// Shutdown lets requests in progress end, until the context does.
-func (a *Agent) Shutdown(ctx context.Context) error {
+func (a *Agent) fronts() []*front {
 	a.mu.Lock()
-	fronts := make([]*front, 0, len(a.services))
+	defer a.mu.Unlock()
+	all := make([]*front, 0, len(a.services))
 	for _, f := range a.services {
-		fronts = append(fronts, f)
-	}
-	a.mu.Unlock()
-	var first error
-	for _, f := range fronts {
-		if err := f.shutdown(ctx); err != nil && first == nil {
-			first = eris.Wrap(err, "shut down the callers' server")
-		}
+		all = append(all, f)
 	}
-	if err := a.Close(); first == nil {
-		first = err
-	}
-	return first
+	return all
 }
 
-// Close stops at once.
-func (a *Agent) Close() error {
-	a.cancel()
-	a.mu.Lock()
-	for _, f := range a.services {
-		f.close()
-	}
-	a.mu.Unlock()
-	return a.node.link.Close()
+// limited refuses a caller that has too many requests in progress.
+func (a *Agent) limited(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller, err := netip.ParseAddrPort(r.RemoteAddr)
+		if err != nil {
+			http.Error(w, "no caller address", http.StatusBadRequest)
+			return
+		}
+		addr := caller.Addr().Unmap()
+		if v := a.limiter.BeginRequest(addr); v != limit.Allowed {
+			refuse(w, r, v)
+			return
+		}
+		defer a.limiter.EndRequest(addr)
+		h.ServeHTTP(w, r)
+	})
 }
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -7,12 +7,8 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/balancer"
-	"github.com/currantturn/currantturn/internal/transport/link"
 )
 
-// linkReaders is how many goroutines read the link's socket.
-const linkReaders = 2
-
 // BalancerOptions are the parts of a balancer process.
 type BalancerOptions struct {
 	Name      currantturn.VMName
@@ -37,17 +33,13 @@
 
 // StartBalancer binds the sockets and starts a balancer.
 func StartBalancer(opts BalancerOptions) (*Balancer, error) {
-	n := newNode(opts.Clock, opts.Report)
-	n.entry = opts.Entry
-	l, err := link.Open(link.Options{
-		Listen: opts.Link, Advertise: opts.Advertise, Sealer: opts.Sealer, Names: n.names, Clock: opts.Clock,
-	})
+	n, err := openNode(opts.Link, opts.Advertise, opts.Sealer, opts.Clock, opts.Report)
 	if err != nil {
 		return nil, err
 	}
-	n.link = l
+	n.entry = opts.Entry
 	n.router = balancer.New(balancer.Options{
-		Self:    l.Self(),
+		Self:    n.link.Self(),
 		Key:     opts.Secrets.Rank,
 		Seed:    opts.Seed,
 		ConnIDs: opts.Secrets.ConnIDs,
@@ -55,8 +47,7 @@
 	n.add(n.router, balancer.Kinds()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
-	l.Start(n, linkReaders)
-	go n.tick(ctx)
+	n.start(ctx)
 	go b.serve()
 	return b, nil
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -3,14 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
-	"math/big"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -18,10 +13,12 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/standin/authority"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/currantturn/currantturn/internal/standin/fabric"
 	"github.com/currantturn/currantturn/internal/suite"
 	"github.com/currantturn/currantturn/internal/transport/entry"
+	"github.com/currantturn/currantturn/internal/transport/identity"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/quic-go/quic-go/http3"
@@ -37,15 +34,6 @@
 
 func (plain) Open(_ time.Time, p []byte) ([]byte, error) { return p, nil }
 
-func certificate() tls.Certificate {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"verify"}}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	Expect(err).NotTo(HaveOccurred())
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
-}
-
 var _ = Describe("the whole path", func() {
 	It("answers requests and keeps a watch open while a balancer stops", func(ctx SpecContext) {
 		f, err := fabric.New(fabric.Options{Seed: 1, Delay: 2 * time.Millisecond})
@@ -55,7 +43,8 @@
 		Expect(err).NotTo(HaveOccurred())
 
 		service := currantturn.Service{Name: "verify", Addresses: []netip.AddrPort{address}}
-		cert := certificate()
+		ca, err := authority.New(time.Now())
+		Expect(err).NotTo(HaveOccurred())
 		secrets, err := core.NewSecrets(make([]byte, core.MasterBytes))
 		Expect(err).NotTo(HaveOccurred())
 		var agents []*core.Agent
@@ -64,16 +53,23 @@
 			b, err := backend.Start(backend.Options{Name: string(id), Slots: 3, Work: time.Millisecond})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(b.Close)
+			files, err := ca.Write(time.Now(), GinkgoT().TempDir(), identity.Peer{Role: currantturn.RoleAgent, Name: string(id)})
+			Expect(err).NotTo(HaveOccurred())
+			self, err := identity.Open(files, time.Now, func(currantturn.Event) {})
+			Expect(err).NotTo(HaveOccurred())
+			cert, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+			Expect(err).NotTo(HaveOccurred())
 			a, err := core.StartAgent(core.AgentOptions{
-				ID: id, Service: "verify", Link: loopback, Backend: b.Addr(),
-				CallerTLS: &tls.Config{Certificates: []tls.Certificate{cert}},
-				Sealer:    plain{}, Secrets: secrets, Clock: time.Now, Report: func(currantturn.Event) {},
+				ID: id, Service: "verify", Link: loopback, Stream: loopback, Backend: b.Addr(),
+				CallerTLS: &tls.Config{Certificates: []tls.Certificate{cert}}, Identity: self,
+				Retention: time.Minute, ClaimSize: 1 << 20,
+				Sealer: plain{}, Secrets: secrets, Clock: time.Now, Report: func(currantturn.Event) {},
 			})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(a.Close)
 			agents = append(agents, a)
 			service.Backends = append(service.Backends, currantturn.BackendServer{
-				ID: id, Agent: a.Link(), Slots: 3, Weight: 1, State: currantturn.BackendActive,
+				ID: id, Agent: a.Link(), Stream: a.Stream(), Slots: 3, Weight: 1, State: currantturn.BackendActive,
 			})
 		}
 		view := currantturn.NewView(1, []currantturn.Service{service})
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -33,7 +33,13 @@
 	effects  sync.Pool
 }
 
-func newNode(clock func() time.Time, report func(currantturn.Event)) *node {
+// linkReaders is how many goroutines read the link's socket.
+const linkReaders = 2
+
+// openNode binds the link; start lets it read.
+func openNode(
+	listen, advertise netip.AddrPort, sealer currantturn.Sealer, clock func() time.Time, report func(currantturn.Event),
+) (*node, error) {
 	n := &node{
 		clock:    clock,
 		report:   report,
@@ -41,7 +47,17 @@
 		effects:  sync.Pool{New: func() any { return new(currantturn.Effects) }},
 	}
 	n.known.Store(newNames(currantturn.NewView(0, nil)))
-	return n
+	l, err := link.Open(link.Options{
+		Listen: listen, Advertise: advertise, Sealer: sealer, Names: n.names, Clock: clock,
+	})
+	n.link = l
+	return n, err
+}
+
+// start reads the link and calls the machines until the context ends.
+func (n *node) start(ctx context.Context) {
+	n.link.Start(n, linkReaders)
+	go n.tick(ctx)
 }
 
 // add registers a machine and the message kinds that it handles.
--- a/internal/try/callers.go
+++ b/internal/try/callers.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	protocol "github.com/currantturn/currantturn/internal/protocol/request"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -109,7 +110,8 @@
 		c.tally.request(id, outcomeFailed, 0, err.Error())
 		return
 	}
-	r.Header.Set("Idempotency-Key", id)
+	r.Header.Set(protocol.HeaderKey, id)
+	r.Header.Set(protocol.HeaderTimeout, strconv.FormatFloat(requestDeadline.Seconds(), 'f', 3, 64))
 	res, err := c.client.Do(r)
 	if err != nil {
 		c.tally.request(id, c.failure(err), 0, err.Error())
@@ -131,7 +133,7 @@
 
 // judge compares an answer with the one that the request must get.
 func judge(res *http.Response, body string, err error, want string) (outcome, string) {
-	switch o := outcome(res.Header.Get("Request-Outcome")); {
+	switch o := outcome(res.Header.Get(protocol.HeaderOutcome)); {
 	case res.StatusCode == http.StatusOK && err == nil && body == want:
 		return outcomeAnswered, ""
 	case res.StatusCode == http.StatusOK && err != nil:
--- a/internal/try/constants.go
+++ b/internal/try/constants.go
@@ -21,6 +21,11 @@
 	stopGrace         = 15 * time.Second
 	leavingBound      = 3 * time.Second // new work to a leaving backend server ends within
 	fabricSettle      = 300 * time.Millisecond
+	coldFor           = time.Second           // of the stand-ins, which start warm
+	clockSkew         = 20 * time.Millisecond // one clock serves all processes
+	warmUp            = time.Second
+	claimRetention    = 15 * time.Minute
+	claimStoreBytes   = 16 << 20
 	inForceBound      = 4 * time.Second
 	histogramMax      = 60_000_000 // microseconds
 	histogramDigits   = 3
--- a/internal/try/deployment.go
+++ b/internal/try/deployment.go
@@ -40,14 +40,14 @@
 func Find(name string) (Deployment, error) {
 	switch name {
 	case "authority":
-		return authority(), nil
+		return authoritySite(), nil
 	case "polepa":
-		return polepa(), nil
+		return polepaSite(), nil
 	}
 	return Deployment{}, eris.Wrapf(ErrUnknownDeployment, "%q", name)
 }
 
-func authority() Deployment {
+func authoritySite() Deployment {
 	return Deployment{
 		Name:      "authority",
 		Domains:   []currantturn.FailureDomain{"kivukoni", "upanga", "kurasini", "mikocheni"},
@@ -61,7 +61,7 @@
 	}
 }
 
-func polepa() Deployment {
+func polepaSite() Deployment {
 	return Deployment{
 		Name:      "polepa",
 		Domains:   []currantturn.FailureDomain{"hall-a", "hall-b", "hall-c"},
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(warmUp)
 	r := &run{opts: opts, site: s, tally: newTally()}
 	err = r.drive(ctx)
 	stopErr := r.stop()
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -8,17 +8,23 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/admission"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/core"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/seal"
+	"github.com/currantturn/currantturn/internal/standin/authority"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/currantturn/currantturn/internal/standin/fabric"
 	"github.com/currantturn/currantturn/internal/transport/entry"
+	"github.com/currantturn/currantturn/internal/transport/identity"
+	"github.com/currantturn/currantturn/pkg/patch"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -27,7 +33,9 @@
 type site struct {
 	plan      Deployment
 	fabric    *fabric.Fabric
-	tls       *tls.Config
+	tls       *tls.Config // towards callers
+	ca        *authority.Authority
+	dir       string // of the processes' certificates
 	secrets   core.Secrets
 	ring      seal.Ring
 	broken    map[string]int // invariants that a process reported as broken
@@ -60,7 +68,15 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := throwAwayTLS()
+	dir, err := os.MkdirTemp("", "currantturn-try-")
+	if err != nil {
+		return nil, err
+	}
+	ca, err := authority.New(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := callerTLS(ca)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +88,8 @@
 		plan:    plan,
 		fabric:  f,
 		tls:     cfg,
+		ca:      ca,
+		dir:     dir,
 		secrets: secrets,
 		ring:    seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{byte(seed), 1}}}},
 		broken:  make(map[string]int),
@@ -96,6 +114,31 @@
 	return seal.New(s.ring, time.Now, rand.Reader)
 }
 
+// identity issues the certificate of one process.
+func (s *site) identity(p identity.Peer) (*identity.Identity, error) {
+	dir := filepath.Join(s.dir, p.Name)
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return nil, err
+	}
+	files, err := s.ca.Write(time.Now(), dir, p)
+	if err != nil {
+		return nil, err
+	}
+	return identity.Open(files, time.Now, s.report)
+}
+
+func callerTLS(ca *authority.Authority) (*tls.Config, error) {
+	cert, key, err := ca.Issue(time.Now(), identity.Peer{Role: currantturn.RoleAgent, Name: "try"}, "try")
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}}, nil
+}
+
 // report counts the invariants that a process found broken.
 func (s *site) report(e currantturn.Event) {
 	if e.Number != event.InvariantViolated {
@@ -117,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}}
+	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}, Limits: patch.DefaultLimits}
 	for i := range p.Backends {
 		h, err := s.startHost(p, i)
 		if err != nil {
@@ -128,6 +171,7 @@
 			ID:            h.id,
 			FailureDomain: s.domain(i),
 			Agent:         h.agent.Link(),
+			Stream:        h.agent.Stream(),
 			Slots:         p.Slots,
 			Weight:        p.Slots,
 			State:         currantturn.BackendActive,
@@ -151,13 +195,24 @@
 	if err != nil {
 		return nil, err
 	}
+	self, err := s.identity(identity.Peer{Role: currantturn.RoleAgent, Name: string(id)})
+	if err != nil {
+		return nil, err
+	}
 	a, err := core.StartAgent(core.AgentOptions{
 		ID:        id,
 		Service:   p.Name,
 		Domain:    s.domain(i),
 		Link:      loopback,
+		Stream:    loopback,
 		Backend:   b.Addr(),
 		CallerTLS: s.tls,
+		Identity:  self,
+		Retention: claimRetention,
+		ClaimSize: claimStoreBytes,
+		ClockSkew: clockSkew,
+		Watches:   admission.DefaultWatches,
+		ColdFor:   coldFor,
 		Sealer:    sealer,
 		Secrets:   s.secrets,
 		Seed:      rank.Seed(id),
@@ -274,5 +329,6 @@
 		_ = d.balancer.Close()
 	}
 	_ = s.fabric.Close()
+	_ = os.RemoveAll(s.dir)
 	return first
 }
