--- a/internal/coordination/agent/agent.go
+++ b/internal/coordination/agent/agent.go
@@ -26,9 +26,9 @@
 	Load    func() currantturn.Load // requests as the agent sees them
 	// PeerLoad gets the loads that other agents tell; nil for none.
 	PeerLoad func(now time.Time, id currantturn.BackendID, load currantturn.Load)
-	Records int                     // bound of the flow table
-	Idle    time.Duration           // after which a silent flow ends
-	Assert  bool                    // reports broken invariants as events
+	Records  int           // bound of the flow table
+	Idle     time.Duration // after which a silent flow ends
+	Assert   bool          // reports broken invariants as events
 }
 
 // Agent is the router beside a backend server.
@@ -59,9 +59,9 @@
 		opts.Idle = DefaultFlowIdle
 	}
 	a := &Agent{
-		opts:    opts,
-		table:   flow.NewTable(opts.Records),
-		ids:     flow.NewInterner(),
+		opts:  opts,
+		table: flow.NewTable(opts.Records),
+		ids:   flow.NewInterner(),
 		members: membership.New(membership.Options{
 			ID: opts.ID, Service: opts.Service, Seed: opts.Seed, Heard: opts.PeerLoad,
 		}),
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -25,6 +25,7 @@
 	"github.com/currantturn/currantturn/internal/transport/entry"
 	"github.com/currantturn/currantturn/internal/transport/identity"
 	"github.com/currantturn/currantturn/pkg/patch"
+	"golang.org/x/sync/errgroup"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -317,12 +318,14 @@
 	return netip.AddrPort{}
 }
 
+// close stops every agent as planned, all at once, and then the rest.
 func (s *site) close(ctx context.Context) error {
-	var first error
+	var stops errgroup.Group
+	for _, h := range s.hosts {
+		stops.Go(func() error { return h.agent.Shutdown(ctx) })
+	}
+	err := stops.Wait()
 	for _, h := range s.hosts {
-		if err := h.agent.Shutdown(ctx); err != nil && first == nil {
-			first = err
-		}
 		_ = h.backend.Close()
 	}
 	for _, d := range s.balancers {
@@ -330,5 +333,5 @@
 	}
 	_ = s.fabric.Close()
 	_ = os.RemoveAll(s.dir)
-	return first
+	return err
 }
