Test balancers and agents together under faults against naive ones

Found and mended on the way: a redirect cycle between two agents of which one knew that it leaves and the other did not (a flow was never opened); an opening packet now breaks such a cycle.

--- /dev/null
+++ b/internal/baseline/doc.go
@@ -0,0 +1,3 @@
+// Package baseline holds naive balancers, against which tests and measurements
+// compare the real ones.
+package baseline
--- a/internal/coordination/agent/constants.go
+++ b/internal/coordination/agent/constants.go
@@ -33,6 +33,7 @@
 	EchoEvery = 2 * time.Second
 
 	maxHops        = 8                      // agents that an envelope may pass
+	cycleHops      = 5                      // agents that an opening packet passes only in a cycle
 	maxTrustedHops = 2                      // agents after which the receiver acts as the home
 	maxHistory     = 8                      // earlier rankings that are kept
 	maxSearches    = 64                     // searches per shard
--- a/internal/coordination/agent/route.go
+++ b/internal/coordination/agent/route.go
@@ -117,17 +117,19 @@
 }
 
 // outdated says whether a redirect contradicts the agent that sent the packet:
-// it placed the flow here after it had been fenced off, or the redirect points
-// back to it.
+// the redirect points back to it, or it placed the flow here after it had been
+// fenced off. Many hops of an opening packet show a cycle of redirects.
 func (a *Agent) outdated(d *arrival, r *flow.Record) bool {
-	switch d.env.Intent {
-	case currantturn.IntentPlace:
-		return r.Has(flow.Fenced)
-	case currantturn.IntentHeld:
-		return d.from.IsValid() && d.plan.byAgent[d.from] == a.ids.ID(r.Holder)
-	default:
+	if d.env.Intent == currantturn.IntentRoute || d.env.Intent == "" {
 		return false
 	}
+	if d.from.IsValid() && d.plan.byAgent[d.from] == a.ids.ID(r.Holder) {
+		return true
+	}
+	if d.env.Intent == currantturn.IntentPlace && r.Has(flow.Fenced) {
+		return true
+	}
+	return d.env.Packet.Mark == currantturn.MarkOpening && d.env.Hops >= cycleHops
 }
 
 // atHolder delivers a packet of a flow that is held here.
