Take a flow whose placement is overtaken by its repeated opening packet

An opening packet that the home forwards to the holder may overtake the one that places the flow there; the receiver placed the flow a second time, two agents placed it with each other and both kept it. It takes the flow itself now. An agent without a configuration answers questions about flows, so that a placement beside it does not wait for the deadline of 3 s.

Open: with -long, about one schedule in 500: a flow without marks at two hosts after a restart with duplicated packets.

--- a/internal/coordination/agent/route.go
+++ b/internal/coordination/agent/route.go
@@ -206,7 +206,8 @@
 		return
 	case currantturn.IntentHeld:
 		if opening {
-			a.place(d)
+			// It overtook the packet that placed the flow here.
+			a.accept(d)
 			return
 		}
 		a.search(d, nil)
--- a/internal/coordination/agent/search.go
+++ b/internal/coordination/agent/search.go
@@ -237,7 +237,7 @@
 func (a *Agent) handleQuery(now time.Time, from netip.AddrPort, q Query, out *currantturn.Effects) {
 	key, ok := flow.ParseKey(q.Key)
 	p := a.plan.Load()
-	if !ok || p == nil || p.service.Backend(q.From) == nil {
+	if !ok || (p != nil && p.service.Backend(q.From) == nil) {
 		return
 	}
 	hash := a.opts.Key.Flow(key.Flow())
