Sharpen the shell's tests by mutants

Cause: 35 mutants of the shell's packages, one test run each: 27 killed, 6 survived, 2 did not build. Bounds of the settings file, its lists and empty named files now have specs, each seen to fail under its mutant. Left: the limit of connections to the administration API (a verdict on it would hang on time), and two mutants without a difference in behaviour beyond a second's delay.

--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -89,6 +89,7 @@
 			for _, d := range r.Definitions {
 				Expect(seen[d.Name]).To(BeFalse(), d.Name)
 				seen[d.Name] = true
+				Expect(d.Number-d.Number%100).To(Equal(r.First), d.Name)
 				Expect(event.Lookup(d.Number).Name).To(Equal(d.Name))
 				Expect(d.Text).NotTo(BeEmpty(), d.Name)
 				Expect(d.Level).To(BeElementOf(event.Debug, event.Info, event.Warning, event.Error))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +96,19 @@
 		Expect(err.Error()).To(HavePrefix("testdata/absent.ini: "))
 	})
 
+	It("refuses a list above its bound", func() {
+		list := "urls = " + strings.Repeat("x,", 1024)
+		_, err := load(strings.Replace(string(agent), "urls = ", list, 1))
+		Expect(err).To(MatchError("testdata/x.ini: [platform] urls: 1025 entries are more than 1024"))
+	})
+
+	It("refuses a settings file above its bound", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "large.ini")
+		Expect(os.WriteFile(path, append(balancer, make([]byte, 256<<10)...), 0o600)).To(Succeed())
+		_, err := settings.Load(path)
+		Expect(err).To(MatchError(ContainSubstring("input too large")))
+	})
+
 	DescribeTable("reports one more line as one problem",
 		func(file *[]byte, line, problem string) {
 			_, err := load(string(*file) + line)
@@ -116,6 +130,7 @@
 		Entry("bare key", &balancer, "\n[log]\nlevel", "[log] level: has no value"),
 		Entry("missing file", &balancer, "\n[admin]\nca_file = absent", "[admin] ca_file: stat testdata/absent: no such file or directory"),
 		Entry("directory for a file", &balancer, "\n[admin]\nca_file = .", "[admin] ca_file: testdata is not a regular file of 1 byte to 1MiB"),
+		Entry("empty file", &balancer, "\n[admin]\nca_file = empty.pem", "[admin] ca_file: testdata/empty.pem is not a regular file of 1 byte to 1MiB"),
 		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
 	)
