--- a/machine.go
+++ b/machine.go
@@ -46,6 +46,8 @@
 	Answers  []Packet         // to the callers of this balancer
 	Renews   []netip.AddrPort // peers whose channel needs a fresh socket
 	Events   []Event
+	Reads    []Read // from the platform, answered by Reader.Completed
+	InForce  *View  // newly in force, for Configure of every machine; nil for none
 }
 
 // Reset empties the effects and keeps their storage.
@@ -56,6 +58,8 @@
 	e.Answers = e.Answers[:0]
 	e.Renews = e.Renews[:0]
 	e.Events = e.Events[:0]
+	e.Reads = e.Reads[:0]
+	e.InForce = nil
 }
 
 // Send records a control message to a peer.
