--- a/internal/coordination/gossip/checkpoint.go
+++ b/internal/coordination/gossip/checkpoint.go
@@ -43,8 +43,7 @@
 		return
 	}
 	data := c.Bytes[start:min(start+partBytes, len(c.Bytes))]
-	if !m.bucket.take(len(data) + datagramOverheadBytes) {
-		m.counters.PartsPaced++
+	if !m.pace(len(data)) {
 		return
 	}
 	m.counters.PartsSent++
@@ -52,7 +51,7 @@
 }
 
 func (m *Machine) sendOffer(to netip.AddrPort, out *currantturn.Effects) {
-	if m.head().Position == 0 {
+	if m.head().Position == 0 || !m.pace(offerBytes) {
 		return
 	}
 	c, err := m.log.Checkpoint()
@@ -165,7 +164,7 @@
 
 // restore takes a later configuration from its encoded form.
 func (m *Machine) restore(now time.Time, p []byte, source string, out *currantturn.Effects) bool {
-	c, err := configuration.DecodeSnapshot(p)
+	c, err := m.opts.Decode(p)
 	if err != nil {
 		return false
 	}
--- a/internal/coordination/gossip/constants.go
+++ b/internal/coordination/gossip/constants.go
@@ -44,12 +44,15 @@
 	offerPeers = 8
 	// maxHints bounds the peers learnt from offers.
 	maxHints = 64
-	// sendBytesPerSecond paces the parts sent to peers.
-	sendBytesPerSecond = 3500
+	// sendBytesPerSecond paces the answers to peers.
+	sendBytesPerSecond = 2500
 	// sendBurstBytes is how much pacing lets through at once.
-	sendBurstBytes = 3500
-	// datagramOverheadBytes is what link and network add to a message.
-	datagramOverheadBytes = 80
+	sendBurstBytes = 1500
+	// digestBytes and offerBytes are the sizes of these answers.
+	digestBytes = 60
+	offerBytes  = 250
+	// DatagramOverheadBytes is what link and network add to a message.
+	DatagramOverheadBytes = 80
 )
 
 // Reads of the platform.
--- a/internal/coordination/gossip/counters.go
+++ b/internal/coordination/gossip/counters.go
@@ -6,7 +6,7 @@
 	RecordsRejected  uint64 `json:"records_rejected"`
 	DigestsSent      uint64 `json:"digests_sent"`
 	PartsSent        uint64 `json:"parts_sent"`
-	PartsPaced       uint64 `json:"parts_paced"` // withheld by the byte budget
+	AnswersPaced     uint64 `json:"answers_paced"` // withheld by the byte budget
 	PullsSent        uint64 `json:"pulls_sent"`
 	CheckpointsTaken uint64 `json:"checkpoints_taken"`
 	Reads            uint64 `json:"reads"`
--- /dev/null
+++ b/internal/coordination/gossip/gossip_test.go
@@ -0,0 +1,260 @@
+package gossip_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/pkg/patch"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestGossip(t *testing.T) { suite.Run(t, "gossip") }
+
+// settle is how long a fleet may take to recover from any of the faults: a
+// process that heard nothing reads within its spread.
+const settle = 3 * time.Minute
+
+func started(n int) *fleet {
+	f := newFleet(1, n)
+	f.seeds = true
+	f.startAll()
+	Expect(f.until(settle, f.converged)).To(BeTrue())
+	return f
+}
+
+func (f *fleet) expectConverged(d time.Duration) {
+	GinkgoHelper()
+	ok := f.until(d, f.converged)
+	Expect(f.faults).To(BeEmpty())
+	if !ok {
+		for _, p := range f.all {
+			if p.view == nil || p.view.Version != f.platform.config.Version || !p.m.Ready() {
+				Expect(p.m.Counters()).To(BeNil(), "process %d of version %d", p.index, f.platform.config.Version)
+			}
+		}
+	}
+}
+
+func (f *fleet) eventCount(number int) int {
+	n := 0
+	for _, p := range f.all {
+		n += p.events[number]
+	}
+	return n
+}
+
+var _ = Describe("dissemination", func() {
+	It("is in force everywhere within 4 s, with few reads and bytes", func() {
+		f := started(300)
+		f.run(30 * time.Second)
+		f.resetFigures()
+		ts := f.inForceTimes(5, 30*time.Second)
+		Expect(ts[len(ts)-1]).To(BeNumerically("<", 4*time.Second))
+		most, _ := f.maxBytes()
+		Expect(most).To(BeNumerically("<=", 5000))
+		Expect(f.platform.maxReads).To(BeNumerically("<", 200))
+		Expect(f.faults).To(BeEmpty())
+	})
+
+	It("survives the service being down for an hour, with restarts and a joiner", func() {
+		f := started(30)
+		f.publish()
+		f.expectConverged(settle)
+		f.platform.down = true
+		for range 6 {
+			f.run(10 * time.Minute)
+			f.start(f.all[f.r.IntN(len(f.all))])
+		}
+		f.expectConverged(time.Minute) // the joiners took everything from peers
+		Expect(f.platform.maxReads).To(BeNumerically("<", 200))
+		f.platform.down = false
+		f.publish()
+		f.expectConverged(settle)
+		Expect(f.eventCount(event.PlatformUnavailable)).To(BeNumerically(">", 0))
+	})
+
+	It("ignores a service that is stale for an hour and shows an older version", func() {
+		f := started(30)
+		for range 5 {
+			f.publish()
+			f.expectConverged(settle)
+		}
+		f.platform.shown = 2
+		f.run(time.Hour)
+		f.start(f.all[3])
+		f.expectConverged(time.Minute) // the joiner reads version 1 and takes the rest from peers
+		Expect(f.eventCount(event.ConfigurationStale)).To(BeNumerically(">", 0))
+		Expect(f.eventCount(event.ConfigurationDiverged)).To(BeZero())
+		f.platform.shown = -1
+		f.publish()
+		f.expectConverged(settle)
+	})
+
+	It("keeps what is in force when the log is rewritten, and says so", func() {
+		f := started(30)
+		f.publish()
+		f.expectConverged(settle)
+		other := newFleet(1, 30)
+		other.r.Uint64()
+		other.append([]byte(`{}`))
+		other.append([]byte(`{}`))
+		f.platform.other = other.platform.records
+		f.platform.snapshot = other.snapshotBytes()
+		f.start(f.all[5]) // the joiner starts from the rewritten snapshot and gives way
+		f.run(2 * time.Minute)
+		f.expectConverged(time.Second)
+		Expect(f.eventCount(event.ConfigurationDiverged)).To(BeNumerically(">", 0))
+	})
+
+	It("converges on the highest version after a partition", func() {
+		f := started(40)
+		f.cut = func(a, b *process) bool { return a.domain < 3 != (b.domain < 3) }
+		hidden := f.all[0].domain < 3
+		f.blind = func(p *process) bool { return p.domain < 3 != hidden }
+		for range 3 {
+			f.publish()
+			f.run(time.Minute)
+		}
+		versions := map[currantturn.Version]int{}
+		for _, p := range f.all {
+			versions[p.view.Version]++
+		}
+		Expect(versions).To(HaveLen(2), "both sides differ")
+		f.cut = nil
+		f.expectConverged(20 * time.Second)
+	})
+
+	It("catches up with many records by a checkpoint and records", func() {
+		f := started(20)
+		f.platform.down = true
+		late := f.all[7]
+		late.m = nil
+		f.platform.down = false
+		for range 300 {
+			f.publish()
+			f.run(300 * time.Millisecond)
+		}
+		f.platform.down = true
+		f.start(late)
+		late.maxBytes = 0
+		f.expectConverged(settle)
+		Expect(late.m.Counters().CheckpointsTaken).To(BeNumerically(">", 0))
+	})
+
+	It("carries large records", func() {
+		f := started(20)
+		p, _ := patch.Encode(&patch.Patch{BuildsOn: f.platform.config.Version, Operations: manyOperations(f)})
+		Expect(len(p)).To(BeNumerically(">", 20_000))
+		f.append(p)
+		f.expectConverged(settle)
+	})
+})
+
+func manyOperations(f *fleet) []patch.Operation {
+	var ops []patch.Operation
+	for i := range 300 {
+		s := f.platform.config.Services[0]
+		ops = append(ops, patch.SetWeight{Service: s.Name, ID: s.Backends[i%len(s.Backends)].ID, Weight: f.r.IntN(900)})
+	}
+	return append(ops, patch.SetWeight{
+		Service: f.platform.config.Services[0].Name, ID: f.platform.config.Services[0].Backends[0].ID, Weight: 1,
+	})
+}
+
+// disturb draws one fault, change or repair.
+func (f *fleet) disturb(t *rapid.T) {
+	p := f.all[rapid.IntRange(0, len(f.all)-1).Draw(t, "process")]
+	switch rapid.SampledFrom([]string{
+		"publish", "publish", "publish", "race", "snapshot", "down", "up", "stale", "fresh", "older",
+		"cut", "heal", "restart", "restart half", "pause", "loss",
+	}).Draw(t, "fault") {
+	case "publish":
+		f.publish()
+	case "race": // two operators build on the same version
+		version := f.platform.config.Version
+		f.publish()
+		b, _ := patch.Encode(&patch.Patch{BuildsOn: version, Operations: manyOperations(f)[:1]})
+		f.append(b)
+	case "snapshot":
+		f.publishSnapshot()
+	case "down":
+		f.platform.down = true
+	case "up":
+		f.platform.down = false
+	case "stale":
+		f.platform.shown = len(f.platform.records)
+	case "older":
+		f.platform.shown = 1 + f.r.IntN(len(f.platform.records))
+	case "fresh":
+		f.platform.shown = -1
+	case "cut":
+		k := rapid.IntRange(1, 4).Draw(t, "domains")
+		f.cut = func(a, b *process) bool { return a.domain < k != (b.domain < k) }
+	case "heal":
+		f.cut = nil
+	case "restart":
+		f.start(p)
+	case "restart half":
+		for _, p := range f.all {
+			if f.r.IntN(2) == 0 {
+				f.start(p)
+			}
+		}
+	case "pause":
+		p.pause = f.r.IntN(60 * stepsInSecond)
+	case "loss":
+		f.loss = []float64{0, 0.1, 0.3}[f.r.IntN(3)]
+	}
+}
+
+// TestRandomFaults asserts in every step that no process goes to a lower
+// version or another digest, and that the fleet converges once repaired.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 40).Draw(t, "processes"))
+		f.seeds = rapid.Bool().Draw(t, "seeds")
+		f.startAll()
+		for range rapid.IntRange(1, 20).Draw(t, "faults") {
+			f.disturb(t)
+			f.run(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "ms")) * time.Millisecond)
+		}
+		f.platform.down, f.platform.shown, f.cut, f.loss = false, -1, nil, 0
+		if !f.until(settle, f.converged) {
+			for _, p := range f.all {
+				t.Logf("process %d %+v", p.index, p.m.Counters())
+			}
+			t.Fatalf("not converged on version %d", f.platform.config.Version)
+		}
+		f.publish()
+		if !f.until(settle, f.converged) || len(f.faults) > 0 {
+			t.Fatalf("not converged, or %v", f.faults)
+		}
+		f.sameVerdicts(t)
+	})
+}
+
+// sameVerdicts compares each held verdict with a naive re-read of the log.
+func (f *fleet) sameVerdicts(t *rapid.T) {
+	c := f.base
+	want := map[uint64]patch.Outcome{}
+	for i := range f.platform.records[1:] {
+		next, v, err := c.Next(&f.platform.records[i+1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = next
+		want[v.Position] = v.Outcome
+	}
+	for _, p := range f.all {
+		for _, e := range p.m.Log().Entries() {
+			if e.Verdict.Outcome != want[e.Record.Position] {
+				t.Fatalf("process %d holds %v at position %d", p.index, e.Verdict, e.Record.Position)
+			}
+		}
+	}
+}
--- a/internal/coordination/gossip/machine.go
+++ b/internal/coordination/gossip/machine.go
@@ -19,6 +19,8 @@
 	Random    *rand.Rand
 	Seeds     []netip.AddrPort // peers to ask before any configuration is known
 	FleetSize int              // expected processes, until a configuration tells
+	// Decode reads an encoded snapshot; nil stands for configuration.DecodeSnapshot.
+	Decode func([]byte) (*patch.Configuration, error)
 }
 
 // Machine decides what to read from the platform and what to tell peers. It is
@@ -69,6 +71,9 @@
 		peers:  peers{self: opts.Self, domain: opts.Domain},
 		ahead:  make(map[uint64]*currantturn.Record),
 	}
+	if m.opts.Decode == nil {
+		m.opts.Decode = configuration.DecodeSnapshot
+	}
 	m.peers.configure(m.log.View())
 	for _, a := range opts.Seeds {
 		m.peers.hint(a)
--- a/internal/coordination/gossip/spread.go
+++ b/internal/coordination/gossip/spread.go
@@ -81,11 +81,21 @@
 	if d.Position > head.Position {
 		m.askFor(now, from, out)
 	}
-	if d.Answer || d.Position < head.Position {
+	if (d.Answer || d.Position < head.Position) && m.pace(digestBytes) {
 		m.sendDigest(now, from, false, out)
 	}
 }
 
+// pace says whether the byte budget allows an answer; peers that get none ask
+// others.
+func (m *Machine) pace(bytes int) bool {
+	if m.bucket.take(bytes + DatagramOverheadBytes) {
+		return true
+	}
+	m.counters.AnswersPaced++
+	return false
+}
+
 // confirm notes that the platform held no more than a position at a time.
 func (m *Machine) confirm(at time.Time, position uint64) {
 	if position <= m.head().Position && at.After(m.confirmed) {
--- a/internal/coordination/gossip/transfer.go
+++ b/internal/coordination/gossip/transfer.go
@@ -101,8 +101,7 @@
 			part := parts[index]
 			n++
 			part.Last = n == pullWindow || (index == len(parts)-1 && position == m.head().Position)
-			if !m.bucket.take(len(part.Data) + datagramOverheadBytes) {
-				m.counters.PartsPaced++
+			if !m.pace(len(part.Data)) {
 				return
 			}
 			m.counters.PartsSent++
