--- a/internal/coordination/gossip/checkpoint.go
+++ b/internal/coordination/gossip/checkpoint.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -173,8 +174,12 @@
 		return false
 	}
 	if err := m.log.Restore(c); err != nil {
+		if errors.Is(err, configuration.ErrDiverged) {
+			m.contradicted(c.Position, c.Digest, out)
+		}
 		return false
 	}
+	m.configured = now
 	m.counters.CheckpointsTaken++
 	m.hear(now, c.Position)
 	m.parts = assembly{}
--- a/internal/coordination/gossip/fleet_test.go
+++ b/internal/coordination/gossip/fleet_test.go
@@ -37,6 +37,8 @@
 	view     *currantturn.View
 	at       time.Time // when the last view came in force
 	readyAt  time.Time
+	heard    uint64 // highest position that a peer told of in this life
+	heardAt  time.Time
 	bytes    int // sent in this second
 	maxBytes int
 	sum      int
@@ -177,6 +179,7 @@
 	p.lives++
 	p.view = nil
 	p.readyAt = time.Time{}
+	p.heard = 0
 	p.pause = 0
 }
 
@@ -271,6 +274,9 @@
 		if err != nil {
 			panic(err)
 		}
+		if d, ok := m.(gossip.Digest); ok && d.Position >= p.heard {
+			p.heard, p.heardAt = d.Position, f.now
+		}
 		p.m.Handle(f.now, d.from, m, &f.out)
 	}
 	f.carry(p)
@@ -328,9 +334,12 @@
 	if p.view != nil && v.Version <= p.view.Version {
 		f.fault("process %d went from version %d to %d", p.index, p.view.Version, v.Version)
 	}
+	c := p.m.Log().Current()
+	if p.view == nil && c.Position < p.heard && f.now.Sub(p.heardAt) < 30*time.Second {
+		f.fault("process %d is ready at position %d, heard %d", p.index, c.Position, p.heard)
+	}
 	p.view = v
 	p.at = f.now
-	c := p.m.Log().Current()
 	if c.Version != v.Version {
 		f.fault("process %d put version %d in force at version %d", p.index, v.Version, c.Version)
 	}
@@ -345,6 +354,9 @@
 		return f.platform.config.Digest
 	}
 	var d patch.Digest
+	if position > uint64(len(f.platform.records)) {
+		return d
+	}
 	for i := range f.platform.records[:position] {
 		d = d.Chain(&f.platform.records[i])
 	}
--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -105,6 +105,7 @@
 		other.append([]byte(`{}`))
 		f.platform.other = other.platform.records
 		f.platform.snapshot = other.snapshotBytes()
+		f.seeds = false
 		f.start(f.all[5]) // the joiner starts from the rewritten snapshot and gives way
 		f.run(2 * time.Minute)
 		f.expectConverged(time.Second)
--- a/internal/coordination/gossip/machine.go
+++ b/internal/coordination/gossip/machine.go
@@ -34,16 +34,17 @@
 	vms      []currantturn.VM
 	counters Counters
 
-	lastTick  time.Time
-	started   time.Time
-	confirmed time.Time // latest time at which the platform held no more than our head
-	heard     uint64    // highest position that anyone told of
-	heardAt   time.Time // when it was last told
-	ready     bool
-	inForce   *currantturn.View // last published, nil before the process was ready
-	refused   bool              // reported that it is not ready
-	answered  []netip.AddrPort  // peers that answered since the start or pause
-	troubled  time.Time         // first read that failed or was stale since the start or pause
+	lastTick   time.Time
+	started    time.Time
+	configured time.Time // when the first configuration came
+	confirmed  time.Time // latest time at which the platform held no more than our head
+	heard      uint64    // highest position that anyone told of
+	heardAt    time.Time // when it was last told
+	ready      bool
+	inForce    *currantturn.View // last published, nil before the process was ready
+	refused    bool              // reported that it is not ready
+	answered   []netip.AddrPort  // peers that answered since the start or pause
+	troubled   time.Time         // first read that failed or was stale since the start or pause
 
 	hot          int // rounds to go
 	nextRound    time.Time
@@ -51,7 +52,7 @@
 	bucket       bucket
 	pull         pull
 	parts        assembly
-	ahead        map[uint64]*currantturn.Record
+	ahead        map[uint64]*linked
 	download     download
 
 	reads    reads
@@ -69,7 +70,7 @@
 		random: opts.Random,
 		log:    configuration.NewLog(&patch.Configuration{}),
 		peers:  peers{self: opts.Self, domain: opts.Domain},
-		ahead:  make(map[uint64]*currantturn.Record),
+		ahead:  make(map[uint64]*linked),
 	}
 	if m.opts.Decode == nil {
 		m.opts.Decode = configuration.DecodeSnapshot
@@ -160,26 +161,26 @@
 	m.judge(now, out)
 }
 
-// accept appends a record and everything ahead that now follows; it returns
-// whether the record agrees with the log.
+// accept appends a record; it returns whether the record agrees with the log.
 func (m *Machine) accept(now time.Time, r *currantturn.Record, out *currantturn.Effects) bool {
-	for r != nil {
-		head := m.head().Position
-		v, err := m.log.Append(r)
-		if err != nil {
-			before, _ := m.log.DigestAt(r.Position - 1)
-			m.contradicted(r.Position, before.Chain(r), out)
-			return false
-		}
-		if r.Position > head {
-			m.report(now, r, v, out)
-			m.hot = rounds
-			m.nextRound = now
-		}
-		m.hear(now, r.Position)
-		delete(m.ahead, r.Position)
-		r = m.ahead[m.head().Position+1]
+	head := m.head().Position
+	v, err := m.log.Append(r)
+	if err != nil {
+		before, _ := m.log.DigestAt(r.Position - 1)
+		m.contradicted(r.Position, before.Chain(r), out)
+		return false
 	}
+	if r.Position <= head {
+		return true
+	}
+	if head == 0 {
+		m.configured = now
+	}
+	m.report(now, r, v, out)
+	m.hot = rounds
+	m.nextRound = now
+	m.hear(now, r.Position)
+	delete(m.ahead, r.Position)
 	m.publish(out)
 	return true
 }
--- a/internal/coordination/gossip/ready.go
+++ b/internal/coordination/gossip/ready.go
@@ -39,9 +39,12 @@
 	if head == 0 || head < m.heard {
 		return false
 	}
-	if m.fresh(now) || len(m.answered) >= joinAnswers {
+	if len(m.answered) >= joinAnswers {
 		return true
 	}
+	if m.fresh(now) { // peers could still contradict the platform
+		return len(m.answered) > 0 || now.Sub(m.configured) > joinWait
+	}
 	// Few or no peers are left, and the platform has nothing newer.
 	return !m.troubled.IsZero() && now.Sub(m.troubled) > joinWait
 }
--- a/internal/coordination/gossip/record.go
+++ b/internal/coordination/gossip/record.go
@@ -17,13 +17,20 @@
 type recordWire struct {
 	_          struct{} `cbor:",toarray"`
 	Author     string
-	Time       int64 // nanoseconds since 1970
+	Time       int64  // nanoseconds since 1970
+	Before     []byte // chain digest before the record
 	Compressed bool
 	Patch      []byte
 }
 
-func encodeRecord(r *currantturn.Record) ([]byte, error) {
-	out := recordWire{Author: r.Author, Time: r.Time.UnixNano(), Patch: r.Patch}
+// linked is a record with the chain digest that it follows.
+type linked struct {
+	record currantturn.Record
+	before patch.Digest
+}
+
+func encodeRecord(r *currantturn.Record, before patch.Digest) ([]byte, error) {
+	out := recordWire{Author: r.Author, Time: r.Time.UnixNano(), Before: before[:], Patch: r.Patch}
 	if len(r.Patch) > partBytes {
 		out.Compressed = true
 		out.Patch = compress(r.Patch)
@@ -40,11 +47,15 @@
 	return b.Bytes()
 }
 
-func decodeRecord(position uint64, p []byte) (*currantturn.Record, error) {
+func decodeRecord(position uint64, p []byte) (*linked, error) {
 	var in recordWire
 	if err := cbor.Unmarshal(p, &in); err != nil {
 		return nil, eris.Wrap(currantturn.ErrMalformed, err.Error())
 	}
+	before, ok := toDigest(in.Before)
+	if !ok {
+		return nil, eris.Wrap(currantturn.ErrMalformed, "digest before the record")
+	}
 	if in.Compressed {
 		plain, err := decompress(in.Patch)
 		if err != nil {
@@ -52,9 +63,8 @@
 		}
 		in.Patch = plain
 	}
-	return &currantturn.Record{
-		Position: position, Author: in.Author, Time: time.Unix(0, in.Time).UTC(), Patch: in.Patch,
-	}, nil
+	r := currantturn.Record{Position: position, Author: in.Author, Time: time.Unix(0, in.Time).UTC(), Patch: in.Patch}
+	return &linked{record: r, before: before}, nil
 }
 
 // maxRecordBytes leaves room for patches beyond patch.MaxBytes, which are
--- a/internal/coordination/gossip/spread.go
+++ b/internal/coordination/gossip/spread.go
@@ -113,7 +113,7 @@
 	if !slices.Contains(m.contrary, from) {
 		m.contrary = append(m.contrary, from)
 	}
-	if len(m.contrary) >= contraryPeers {
+	if len(m.contrary) >= min(contraryPeers, max(1, m.peers.size()-1)) {
 		m.restart(now)
 	}
 }
--- a/internal/coordination/gossip/transfer.go
+++ b/internal/coordination/gossip/transfer.go
@@ -117,7 +117,11 @@
 	if !held {
 		return nil
 	}
-	p, err := encodeRecord(&e.Record)
+	before, known := m.log.DigestAt(position - 1)
+	if !known {
+		return nil
+	}
+	p, err := encodeRecord(&e.Record, before)
 	if err != nil {
 		return nil
 	}
@@ -167,9 +171,23 @@
 	if err != nil {
 		return
 	}
-	if p.Position == head+1 {
-		m.accept(now, r, out)
-		return
-	}
 	m.ahead[p.Position] = r
+	m.takeAhead(now, out)
+}
+
+// takeAhead appends the records that follow the head now.
+func (m *Machine) takeAhead(now time.Time, out *currantturn.Effects) {
+	for {
+		head := m.head()
+		next := m.ahead[head.Position+1]
+		if next == nil {
+			return
+		}
+		delete(m.ahead, head.Position+1)
+		if next.before != head.Digest {
+			m.contradicted(head.Position, next.before, out)
+			return
+		}
+		m.accept(now, &next.record, out)
+	}
 }
--- a/internal/state/configuration/log.go
+++ b/internal/state/configuration/log.go
@@ -91,14 +91,15 @@
 
 // compare checks a known record against the chain.
 func (l *Log) compare(r *currantturn.Record) (patch.Verdict, error) {
-	e := l.entry(r.Position)
-	if e == nil {
-		return patch.Verdict{}, nil // older than what is held
+	after, known := l.current.DigestAt(r.Position)
+	before, ok := l.current.DigestAt(r.Position - 1)
+	if known && ok && before.Chain(r) != after {
+		return patch.Verdict{}, eris.Wrapf(ErrDiverged, "record at position %d", r.Position)
 	}
-	if before, ok := l.digestAt(r.Position - 1); ok && before.Chain(r) != e.Digest {
-		return e.Verdict, eris.Wrapf(ErrDiverged, "record at position %d", r.Position)
+	if e := l.entry(r.Position); e != nil {
+		return e.Verdict, nil
 	}
-	return e.Verdict, nil
+	return patch.Verdict{}, nil // older than what is held
 }
 
 func (l *Log) retain(e Entry) {
@@ -138,36 +139,25 @@
 	return append([]Entry(nil), l.entries...)
 }
 
-func (l *Log) digestAt(position uint64) (patch.Digest, bool) {
-	switch {
-	case position == l.current.Position:
-		return l.current.Digest, true
-	case position == l.base.Position:
-		return l.base.Digest, true
-	case position == 0:
-		return patch.Digest{}, true
-	}
-	if e := l.entry(position); e != nil {
-		return e.Digest, true
-	}
-	return patch.Digest{}, false
-}
-
 // DigestAt returns the chain digest at a position, if it is still known.
 func (l *Log) DigestAt(position uint64) (patch.Digest, bool) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.digestAt(position)
+	return l.current.DigestAt(position)
 }
 
 // Restore takes a later configuration from a snapshot or checkpoint; it
-// reports ErrLower for one that is not later.
+// reports ErrLower for one that is not later, ErrDiverged for one whose past
+// contradicts the log.
 func (l *Log) Restore(c *patch.Configuration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.Position <= l.current.Position || c.Version < l.current.Version {
 		return eris.Wrapf(ErrLower, "version %d at position %d", c.Version, c.Position)
 	}
+	if !c.Follows(l.current) {
+		return eris.Wrapf(ErrDiverged, "snapshot at position %d", c.Position)
+	}
 	l.current, l.base = c, c
 	l.encoded = nil
 	l.entries = nil
--- a/internal/state/configuration/snapshot.go
+++ b/internal/state/configuration/snapshot.go
@@ -23,6 +23,7 @@
 	Position uint64
 	Version  currantturn.Version
 	Digest   []byte
+	Past     []byte // digests in a row
 	Services []serviceWire
 }
 
@@ -71,6 +72,9 @@
 
 func encodePlain(c *patch.Configuration) ([]byte, error) {
 	out := snapshotWire{Format: snapshotFormat, Position: c.Position, Version: c.Version, Digest: c.Digest[:]}
+	for _, d := range c.Past {
+		out.Past = append(out.Past, d[:]...)
+	}
 	for i := range c.Services {
 		s, err := encodeService(&c.Services[i])
 		if err != nil {
@@ -137,10 +141,10 @@
 	if err := snapshotDecoder.Unmarshal(plain, &in); err != nil {
 		return nil, eris.Wrap(currantturn.ErrMalformed, err.Error())
 	}
-	if in.Format != snapshotFormat || len(in.Digest) != patch.DigestBytes || uint64(in.Version) > in.Position {
-		return nil, eris.Wrap(currantturn.ErrMalformed, "snapshot header")
+	c, err := decodeHeader(&in)
+	if err != nil {
+		return nil, err
 	}
-	c := &patch.Configuration{Position: in.Position, Version: in.Version, Digest: patch.Digest(in.Digest)}
 	for i := range in.Services {
 		s, err := decodeService(&in.Services[i])
 		if err != nil {
@@ -154,6 +158,20 @@
 	return c, nil
 }
 
+func decodeHeader(in *snapshotWire) (*patch.Configuration, error) {
+	past := len(in.Past) / patch.DigestBytes
+	valid := in.Format == snapshotFormat && len(in.Digest) == patch.DigestBytes && uint64(in.Version) <= in.Position &&
+		len(in.Past)%patch.DigestBytes == 0 && past <= patch.PastDigests && uint64(past) <= in.Position
+	if !valid {
+		return nil, eris.Wrap(currantturn.ErrMalformed, "snapshot header")
+	}
+	c := &patch.Configuration{Position: in.Position, Version: in.Version, Digest: patch.Digest(in.Digest)}
+	for d := range slices.Chunk(in.Past, patch.DigestBytes) {
+		c.Past = append(c.Past, patch.Digest(d))
+	}
+	return c, nil
+}
+
 func decompress(p []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(p))
 	if err != nil {
--- a/pkg/patch/fold.go
+++ b/pkg/patch/fold.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 
 	"github.com/currantturn/currantturn"
 	"github.com/rotisserie/eris"
@@ -12,6 +13,10 @@
 // DigestBytes is the size of a digest.
 const DigestBytes = 16
 
+// PastDigests is how many earlier digests a configuration knows, which show
+// whether another log is the same one.
+const PastDigests = 128
+
 // Digest chains the records of a log: it names a position's whole past.
 type Digest [DigestBytes]byte
 
@@ -68,9 +73,32 @@
 	Position uint64
 	Version  currantturn.Version
 	Digest   Digest
+	Past     []Digest              // of the positions before, the newest last; at most PastDigests
 	Services []currantturn.Service // sorted by name, shared between configurations
 }
 
+// DigestAt returns the digest of a position, if it is known.
+func (c *Configuration) DigestAt(position uint64) (Digest, bool) {
+	switch back := c.Position - position; {
+	case position > c.Position:
+		return Digest{}, false
+	case back == 0:
+		return c.Digest, true
+	case position == 0:
+		return Digest{}, true
+	case back <= uint64(len(c.Past)):
+		return c.Past[uint64(len(c.Past))-back], true
+	}
+	return Digest{}, false
+}
+
+// Follows says whether the configuration continues another one, as far as its
+// known past tells.
+func (c *Configuration) Follows(before *Configuration) bool {
+	d, known := c.DigestAt(before.Position)
+	return !known || d == before.Digest
+}
+
 // View indexes the configuration for the machines.
 func (c *Configuration) View() *currantturn.View {
 	services := make([]currantturn.Service, len(c.Services))
@@ -85,6 +113,7 @@
 	}
 	next := &Configuration{
 		Position: r.Position, Version: c.Version, Digest: c.Digest.Chain(r), Services: c.Services,
+		Past: append(slices.Clone(c.Past[max(0, len(c.Past)-PastDigests+1):]), c.Digest),
 	}
 	services, rs := apply(c, r.Patch)
 	v := Verdict{Position: r.Position, Version: c.Version, Outcome: Rejected, Reasons: rs}
