Put every version in force in order, also those before a process is ready

Cause: the machine handed on only the newest view, so that an owner of request keys that caught up over several versions could not ask the owners in between. The fleet's check now holds for each view of the list.

--- a/internal/coordination/gossip/constants.go
+++ b/internal/coordination/gossip/constants.go
@@ -30,6 +30,8 @@
 	pullWindow = 4
 	// pullTimeout is when a pull without progress goes to another peer.
 	pullTimeout = 400 * time.Millisecond
+	// maxEarly bounds the versions held before the process is ready.
+	maxEarly = 64
 	// maxAhead bounds the records held that do not yet follow the head.
 	maxAhead = 64
 	// maxParts bounds the parts of a record.
--- a/internal/coordination/gossip/fleet_test.go
+++ b/internal/coordination/gossip/fleet_test.go
@@ -301,8 +301,8 @@
 		}
 		p.events[e.Number]++
 	}
-	if v := f.out.InForce; v != nil {
-		f.inForce(p, v)
+	if len(f.out.InForce) > 0 {
+		f.inForce(p, f.out.InForce)
 	}
 	if p.readyAt.IsZero() && p.view != nil {
 		p.readyAt = f.now
@@ -330,18 +330,20 @@
 	f.enqueue(steps, delivery{to: to, from: p.addr, p: b})
 }
 
-func (f *fleet) inForce(p *process, v *currantturn.View) {
-	if p.view != nil && v.Version <= p.view.Version {
-		f.fault("process %d went from version %d to %d", p.index, p.view.Version, v.Version)
-	}
+func (f *fleet) inForce(p *process, views []*currantturn.View) {
 	c := p.m.Log().Current()
 	if p.view == nil && c.Position < p.heard && f.now.Sub(p.heardAt) < 30*time.Second {
 		f.fault("process %d is ready at position %d, heard %d", p.index, c.Position, p.heard)
 	}
-	p.view = v
+	for _, v := range views {
+		if p.view != nil && v.Version <= p.view.Version {
+			f.fault("process %d went from version %d to %d", p.index, p.view.Version, v.Version)
+		}
+		p.view = v
+	}
 	p.at = f.now
-	if c.Version != v.Version {
-		f.fault("process %d put version %d in force at version %d", p.index, v.Version, c.Version)
+	if c.Version != p.view.Version {
+		f.fault("process %d put version %d in force at version %d", p.index, p.view.Version, c.Version)
 	}
 	if c.Digest != f.chain(c.Position) {
 		f.fault("process %d has another digest at position %d", p.index, c.Position)
--- a/internal/coordination/gossip/machine.go
+++ b/internal/coordination/gossip/machine.go
@@ -41,10 +41,11 @@
 	heard      uint64    // highest position that anyone told of
 	heardAt    time.Time // when it was last told
 	ready      bool
-	inForce    *currantturn.View // last published, nil before the process was ready
-	refused    bool              // reported that it is not ready
-	answered   []netip.AddrPort  // peers that answered since the start or pause
-	troubled   time.Time         // first read that failed or was stale since the start or pause
+	inForce    *currantturn.View   // last published, nil before the process was ready
+	early      []*currantturn.View // versions before that, in order
+	refused    bool                // reported that it is not ready
+	answered   []netip.AddrPort    // peers that answered since the start or pause
+	troubled   time.Time           // first read that failed or was stale since the start or pause
 
 	hot          int // rounds to go
 	nextRound    time.Time
@@ -207,7 +208,11 @@
 	v := m.log.View()
 	m.peers.configure(v)
 	m.reads.choose = true
-	if m.inForce == nil || v == m.inForce {
+	if m.inForce == nil {
+		m.keepEarly(v)
+		return
+	}
+	if v == m.inForce {
 		return
 	}
 	if v.Version < m.inForce.Version {
@@ -216,7 +221,19 @@
 		return
 	}
 	m.inForce = v
-	out.InForce = v
+	out.InForce = append(out.InForce, v)
+}
+
+// keepEarly holds the versions before the process is ready, because earlier
+// owners of a request key are derived from them.
+func (m *Machine) keepEarly(v *currantturn.View) {
+	if n := len(m.early); n > 0 && m.early[n-1].Version >= v.Version {
+		return
+	}
+	m.early = append(m.early, v)
+	if len(m.early) > maxEarly {
+		m.early = m.early[1:]
+	}
 }
 
 // hear notes the highest position that anyone told of.
@@ -255,6 +272,7 @@
 // peers'; the platform's snapshot is not read again, peers give theirs.
 func (m *Machine) restart(now time.Time) {
 	m.log = configuration.NewLog(&patch.Configuration{})
+	m.early = nil
 	for i := range min(m.peers.size(), maxHints) {
 		a, _ := m.peers.at(i)
 		m.peers.hint(a)
--- a/internal/coordination/gossip/ready.go
+++ b/internal/coordination/gossip/ready.go
@@ -30,7 +30,8 @@
 	m.refused = false
 	if m.inForce == nil {
 		m.inForce = m.log.View()
-		out.InForce = m.inForce
+		out.InForce = append(out.InForce, m.early...)
+		m.early = nil
 	}
 }
 
--- a/machine.go
+++ b/machine.go
@@ -46,8 +46,8 @@
 	Answers  []Packet         // to the callers of this balancer
 	Renews   []netip.AddrPort // peers whose channel needs a fresh socket
 	Events   []Event
-	Reads    []Read // from the platform, answered by Reader.Completed
-	InForce  *View  // newly in force, for Configure of every machine; nil for none
+	Reads    []Read  // from the platform, answered by Reader.Completed
+	InForce  []*View // newly in force, every version in order, for Configure of every machine
 }
 
 // Reset empties the effects and keeps their storage.
@@ -59,7 +59,7 @@
 	e.Renews = e.Renews[:0]
 	e.Events = e.Events[:0]
 	e.Reads = e.Reads[:0]
-	e.InForce = nil
+	e.InForce = e.InForce[:0]
 }
 
 // Send records a control message to a peer.
