--- a/cmd/currantturn/patch.go
+++ b/cmd/currantturn/patch.go
@@ -6,12 +6,12 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/currantturn/currantturn/pkg/patch"
 	"github.com/rotisserie/eris"
 )
@@ -70,12 +70,11 @@
 	if strings.HasPrefix(source, "http://") || strings.HasPrefix(source, "https://") {
 		return nil, eris.Wrap(command.ErrNotWired, "reading a log by URL")
 	}
-	f, err := os.Open(source)
+	p, err := file.Read(source, maxLogBytes)
 	if err != nil {
 		return nil, eris.Wrap(command.ErrBadInput, err.Error())
 	}
-	defer func() { _ = f.Close() }()
-	records, err := decodeLog(io.LimitReader(f, maxLogBytes))
+	records, err := decodeLog(bytes.NewReader(p))
 	if err != nil {
 		return nil, eris.Wrapf(command.ErrBadInput, "%s: %v", source, err)
 	}
--- a/internal/admin/constants.go
+++ b/internal/admin/constants.go
@@ -4,17 +4,18 @@
 
 // Bounds of the API.
 const (
-	maxConnections    = 16
-	maxHeaderBytes    = 16 << 10
-	maxPatchBytes     = 1 << 20
-	maxResponseBytes  = 16 << 20
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 10 * time.Second
-	writeTimeout      = 30 * time.Second
-	idleTimeout       = time.Minute
-	clientTimeout     = 10 * time.Second
-	defaultLimit      = 1000
-	maxLimit          = 20000
+	maxCredentialBytes = 1 << 20
+	maxConnections     = 16
+	maxHeaderBytes     = 16 << 10
+	maxPatchBytes      = 1 << 20
+	maxResponseBytes   = 16 << 20
+	readHeaderTimeout  = 5 * time.Second
+	readTimeout        = 10 * time.Second
+	writeTimeout       = 30 * time.Second
+	idleTimeout        = time.Minute
+	clientTimeout      = 10 * time.Second
+	defaultLimit       = 1000
+	maxLimit           = 20000
 )
 
 // Paths of the API.
--- a/internal/admin/credentials.go
+++ b/internal/admin/credentials.go
@@ -3,10 +3,10 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"sync/atomic"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/rotisserie/eris"
 )
 
@@ -70,7 +70,7 @@
 	if err != nil {
 		return certificate, nil, eris.Wrap(err, c.CertificateFile)
 	}
-	ca, err := os.ReadFile(c.CAFile)
+	ca, err := file.Read(c.CAFile, maxCredentialBytes)
 	if err != nil {
 		return certificate, nil, eris.Wrap(err, "authority")
 	}
--- a/internal/command/patch.go
+++ b/internal/command/patch.go
@@ -4,10 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 )
@@ -37,9 +36,9 @@
 	if err != nil {
 		return err
 	}
-	patch, err := readBounded(args[0], maxPatchBytes)
+	patch, err := file.Read(args[0], maxPatchBytes)
 	if err != nil {
-		return err
+		return badInput("%v", err)
 	}
 	if p.Hooks.CheckPatch == nil {
 		return eris.Wrap(ErrNotWired, "patch check")
@@ -58,22 +57,6 @@
 	return nil
 }
 
-func readBounded(path string, limit int64) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, badInput("%v", err)
-	}
-	defer f.Close()
-	p, err := io.ReadAll(io.LimitReader(f, limit+1))
-	if err != nil {
-		return nil, badInput("%v", err)
-	}
-	if int64(len(p)) > limit {
-		return nil, badInput("%s is larger than %d bytes", path, limit)
-	}
-	return p, nil
-}
-
 func (p *Program) printVerdict(v *PatchVerdict, against currantturn.Version, format Format) error {
 	if format == FormatJSON {
 		return p.printJSON(v)
--- /dev/null
+++ b/internal/file/doc.go
@@ -0,0 +1,2 @@
+// Package file reads files of a bounded size.
+package file
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,48 +1,34 @@
 package settings
 
 import (
-	"io"
-	"os"
 	"path/filepath"
 	"strings"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/file"
 	"gopkg.in/ini.v1"
 )
 
 // Load reads a settings file; its error is Problems with every mistake found.
 func Load(path string) (*Options, error) {
-	data, err := readBounded(path)
+	data, err := file.Read(path, maxFileBytes)
 	if err != nil {
 		return nil, Problems{{File: path, Text: err.Error()}}
 	}
 	return Parse(path, data)
 }
 
-func readBounded(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
-	if err == nil && len(data) > maxFileBytes {
-		err = currantturn.ErrTooLarge
-	}
-	return data, err
-}
-
 // Parse reads the contents of a settings file; path names it in problems and
 // is the base of relative paths.
 func Parse(path string, data []byte) (*Options, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{
+	parsed, err := ini.LoadSources(ini.LoadOptions{
 		AllowBooleanKeys: true, // a bare key is reported as such, with the others
 		AllowShadows:     true, // so is a key given twice
 	}, data)
 	if err != nil {
 		return nil, Problems{{File: path, Text: err.Error()}}
 	}
-	r := &reader{path: path, file: file, options: &Options{}}
+	r := &reader{path: path, file: parsed, options: &Options{}}
 	r.read()
 	if len(r.problems) > 0 {
 		return nil, r.problems
