--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -45,6 +44,7 @@
 	Watches   int
 	ColdFor   time.Duration
 	Limits    limit.Limits
+	Feed      FeedOptions
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
@@ -63,6 +63,7 @@
 	limiter  *limit.Limiter
 	handler  *request.Handler
 	peers    *request.PeerServer
+	feed     *feed // nil when configured by Configure alone
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	services map[netip.AddrPort]*front
@@ -86,6 +87,10 @@
 	n.add(a.machine, agent.Kinds()...)
 	n.add(a.claims, claim.Kinds...)
 	n.add(a.gate)
+	n.add((*bounds)(a))
+	if opts.Feed.Platform != nil {
+		a.feed = n.follow(opts.Feed, opts.Domain, opts.Seed, a.machine)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	n.start(ctx)
@@ -152,12 +157,6 @@
 
 // Configure puts a configuration in force.
 func (a *Agent) Configure(v *currantturn.View) {
-	if s := v.Service(a.opts.Service); s != nil {
-		limits := a.opts.Limits
-		limits.CallerFlows = s.Limits.FlowsPerCaller
-		limits.HostFlows = s.Limits.FlowsPerBackend
-		a.limiter.Configure(limits)
-	}
 	a.node.configure(v)
 }
 
@@ -189,21 +188,3 @@
 	}
 	return all
 }
-
-// limited refuses a caller that has too many requests in progress.
-func (a *Agent) limited(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		caller, err := netip.ParseAddrPort(r.RemoteAddr)
-		if err != nil {
-			http.Error(w, "no caller address", http.StatusBadRequest)
-			return
-		}
-		addr := caller.Addr().Unmap()
-		if v := a.limiter.BeginRequest(addr); v != limit.Allowed {
-			refuse(w, r, v)
-			return
-		}
-		defer a.limiter.EndRequest(addr)
-		h.ServeHTTP(w, r)
-	})
-}
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -19,16 +19,20 @@
 	Sealer    currantturn.Sealer
 	Secrets   Secrets
 	Seed      uint64 // of random choices
+	Hints     int    // bound of the hint cache; 0 takes its default
+	Feed      FeedOptions
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
 
 // Balancer is a running balancer process.
 type Balancer struct {
-	node   *node
-	entry  currantturn.Entry
-	cancel context.CancelFunc
-	done   chan struct{}
+	node    *node
+	entry   currantturn.Entry
+	machine *balancer.Balancer
+	feed    *feed // nil when configured by Configure alone
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // StartBalancer binds the sockets and starts a balancer.
@@ -38,15 +42,21 @@
 		return nil, err
 	}
 	n.entry = opts.Entry
-	n.router = balancer.New(balancer.Options{
+	machine := balancer.New(balancer.Options{
 		Self:    n.link.Self(),
 		Key:     opts.Secrets.Rank,
 		Seed:    opts.Seed,
 		ConnIDs: opts.Secrets.ConnIDs,
+		Hints:   opts.Hints,
 	})
-	n.add(n.router, balancer.Kinds()...)
+	n.router = machine
+	n.add(machine, balancer.Kinds()...)
+	b := &Balancer{node: n, entry: opts.Entry, machine: machine, done: make(chan struct{})}
+	if opts.Feed.Platform != nil {
+		b.feed = n.follow(opts.Feed, opts.Domain, opts.Seed, machine)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
+	b.cancel = cancel
 	n.start(ctx)
 	go b.serve()
 	return b, nil
@@ -65,6 +75,7 @@
 // Close stops at once.
 func (b *Balancer) Close() error {
 	b.cancel()
+	b.feed.close()
 	err := b.entry.Close()
 	<-b.done
 	if e := b.node.link.Close(); err == nil {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -27,10 +27,14 @@
 	all      []currantturn.Machine
 	entry    currantturn.Entry         // nil at an agent
 	deliver  func(*currantturn.Packet) // nil at a balancer
+	read     func(currantturn.Read)    // nil without a feed
+	inForce  func(time.Time, *currantturn.View)
 	report   func(currantturn.Event)
-	view     atomic.Pointer[currantturn.View]
-	known    atomic.Pointer[names]
-	effects  sync.Pool
+	// configuring puts versions in force one after another, never a lower one.
+	configuring sync.Mutex
+	view        atomic.Pointer[currantturn.View]
+	known       atomic.Pointer[names]
+	effects     sync.Pool
 }
 
 // linkReaders is how many goroutines read the link's socket.
@@ -99,9 +103,15 @@
 	for _, peer := range out.Renews {
 		_ = n.link.Renew(peer)
 	}
+	for _, r := range out.Reads {
+		n.read(r)
+	}
 	for _, e := range out.Events {
 		n.report(e)
 	}
+	for _, v := range out.InForce {
+		n.configure(v)
+	}
 }
 
 // ReceiveEnvelope takes an enveloped packet off the link.
@@ -125,11 +135,19 @@
 
 // configure puts a configuration in force in every machine.
 func (n *node) configure(v *currantturn.View) {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
+	if old := n.view.Load(); old != nil && v.Version <= old.Version {
+		return
+	}
 	n.view.Store(v)
 	n.known.Store(newNames(v))
 	for _, m := range n.all {
 		n.decide(func(now time.Time, out *currantturn.Effects) { m.Configure(now, v, out) })
 	}
+	if n.inForce != nil {
+		n.inForce(n.clock(), v)
+	}
 }
 
 // tick calls the machines until the context ends.
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -53,6 +53,7 @@
 // Close stops at once.
 func (a *Agent) Close() error {
 	a.cancel()
+	a.feed.close()
 	fronts := a.fronts()
 	a.mu.Lock()
 	a.services = nil
