Bind datagrams to their receiver and harden the link

Cause: a captured datagram could be replayed to another process, whose window had not seen it. The frame now names its receiver inside the authenticated part (18 bytes); ruled out: a hash of the address, which saves 10 bytes and makes the claim harder to judge.

Found by the new tests: the first failed read ended a reader of the link's own socket for good, because that socket counted as retired; oversized datagrams were cut and counted as forged; the table of paths never forgot an idle peer, so that once full it learnt no new one. Sends above the path are refused and counted. What is dropped is reported at most once a second for each event.

--- a/internal/event/trust.go
+++ b/internal/event/trust.go
@@ -10,6 +10,7 @@
 	CredentialsReloaded     = 606
 	CredentialsReloadFailed = 607
 	CertificateExpiring     = 608
+	DatagramMisdirected     = 609
 )
 
 var trustDefinitions = []Definition{
@@ -21,4 +22,5 @@
 	{CredentialsReloaded, "credentials_reloaded", Info, "keys and certificates were reloaded", fields("not_after")},
 	{CredentialsReloadFailed, "credentials_reload_failed", Error, "keys and certificates could not be reloaded; the earlier ones stay in use", fields("file error")},
 	{CertificateExpiring, "certificate_expiring", Warning, "certificate expires soon", fields("file not_after")},
+	{DatagramMisdirected, "datagram_misdirected", Warning, "authentic datagram for another process was dropped", fields("from")},
 }
--- a/internal/transport/link/constants.go
+++ b/internal/transport/link/constants.go
@@ -13,4 +13,6 @@
 	PathIdle = 30 * time.Second
 	// maxFresh bounds the fresh sockets that are open at once.
 	maxFresh = 64
+	// noticeEvery is the shortest time between two reports of one kind.
+	noticeEvery = time.Second
 )
--- a/internal/transport/link/counters.go
+++ b/internal/transport/link/counters.go
@@ -11,6 +11,7 @@
 type counts struct {
 	sent, received, sendErrors, readErrors atomic.Uint64
 	malformed, unauthenticated, replayed   atomic.Uint64
+	tooLarge, misdirected, oversized       atomic.Uint64
 	renewed                                atomic.Uint64
 	mu                                     sync.Mutex
 	kinds                                  map[currantturn.Kind]Traffic
@@ -31,6 +32,9 @@
 	Malformed       uint64                       `json:"malformed"`       // datagrams dropped because they do not decode
 	Unauthenticated uint64                       `json:"unauthenticated"` // datagrams dropped because their authenticator does not match
 	Replayed        uint64                       `json:"replayed"`        // datagrams dropped because they were seen before
+	TooLarge        uint64                       `json:"too_large"`       // datagrams dropped because they exceed what a link reads
+	Misdirected     uint64                       `json:"misdirected"`     // authentic datagrams dropped because they were meant for another process
+	Oversized       uint64                       `json:"oversized"`       // datagrams not sent because they exceed the path
 	Renewed         uint64                       `json:"renewed"`         // sockets replaced by fresh ones
 	Control         map[currantturn.Kind]Traffic `json:"control"`         // control messages and bytes sent, by kind
 }
@@ -53,6 +57,10 @@
 		c.replayed.Add(1)
 	case errors.Is(err, currantturn.ErrUnauthenticated):
 		c.unauthenticated.Add(1)
+	case errors.Is(err, currantturn.ErrTooLarge):
+		c.tooLarge.Add(1)
+	case errors.Is(err, errMisdirected):
+		c.misdirected.Add(1)
 	default:
 		c.malformed.Add(1)
 	}
@@ -69,6 +77,9 @@
 		Malformed:       c.malformed.Load(),
 		Unauthenticated: c.unauthenticated.Load(),
 		Replayed:        c.replayed.Load(),
+		TooLarge:        c.tooLarge.Load(),
+		Misdirected:     c.misdirected.Load(),
+		Oversized:       c.oversized.Load(),
 		Renewed:         c.renewed.Load(),
 		Control:         make(map[currantturn.Kind]Traffic),
 	}
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -13,11 +13,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// Frame types; a frame is its type, the sender's link address and the body.
+// Frame types; a frame is its type, the link addresses of the sender and of
+// the receiver, and the body. The receiver refuses what was meant for another.
 const (
 	frameEnvelope  = 1
 	frameMessage   = 2
-	frameHeadBytes = 1 + 16 + 2
+	addressBytes   = 16 + 2
+	frameHeadBytes = 1 + 2*addressBytes
 )
 
 // Receiver takes what arrives; it is called from several goroutines, and the
@@ -34,9 +36,10 @@
 	sealer   currantturn.Sealer
 	names    func() envelope.Names
 	clock    func() time.Time
+	maxSend  int
 	paths    *paths
 	receiver Receiver
-	closed   atomic.Bool
+	notices  notices
 	counts   counts
 }
 
@@ -47,6 +50,8 @@
 	Sealer    currantturn.Sealer
 	Names     func() envelope.Names
 	Clock     func() time.Time
+	MaxSend   int                     // bytes of a datagram; zero means MaxDatagramBytes
+	Report    func(currantturn.Event) // nil reports nothing
 }
 
 // Open binds the link's socket.
@@ -59,11 +64,24 @@
 	if !self.IsValid() {
 		self = conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	}
-	l := &Link{self: self, conn: conn, sealer: o.Sealer, names: o.Names, clock: o.Clock}
-	l.paths = newPaths()
+	if self.Addr().IsUnspecified() {
+		_ = conn.Close()
+		return nil, eris.Wrapf(currantturn.ErrMalformed, "link address %s names no process; advertise one that does", self)
+	}
+	l := &Link{
+		self: unmap(self), conn: conn, sealer: o.Sealer, names: o.Names, clock: o.Clock,
+		maxSend: o.MaxSend, paths: newPaths(), notices: newNotices(o.Report),
+	}
+	if l.maxSend <= 0 || l.maxSend > MaxDatagramBytes {
+		l.maxSend = MaxDatagramBytes
+	}
 	return l, nil
 }
 
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
 func listen(at netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
 	if err != nil {
@@ -90,7 +108,6 @@
 
 // Close ends all reads.
 func (l *Link) Close() error {
-	l.closed.Store(true)
 	l.paths.close()
 	return l.conn.Close()
 }
@@ -99,7 +116,7 @@
 func (l *Link) SendEnvelope(to netip.AddrPort, e *currantturn.Envelope) error {
 	b := buffers.Get().(*buffer)
 	defer buffers.Put(b)
-	p, err := envelope.Append(l.head(b.plain[:0], frameEnvelope), e)
+	p, err := envelope.Append(l.head(b.plain[:0], frameEnvelope, to), e)
 	if err != nil {
 		l.counts.sendErrors.Add(1)
 		return err
@@ -117,20 +134,35 @@
 	}
 	b := buffers.Get().(*buffer)
 	defer buffers.Put(b)
-	b.plain = append(l.head(b.plain[:0], frameMessage), body...)
+	b.plain = append(l.head(b.plain[:0], frameMessage, to), body...)
 	l.counts.control(m.Kind(), len(body))
 	return l.send(to, b.plain, b)
 }
 
-func (l *Link) head(dst []byte, frame byte) []byte {
-	ip := l.self.Addr().As16()
+func (l *Link) head(dst []byte, frame byte, to netip.AddrPort) []byte {
 	dst = append(dst, frame)
+	dst = appendAddress(dst, l.self)
+	return appendAddress(dst, to)
+}
+
+func appendAddress(dst []byte, a netip.AddrPort) []byte {
+	ip := a.Addr().As16()
 	dst = append(dst, ip[:]...)
-	return binary.BigEndian.AppendUint16(dst, l.self.Port())
+	return binary.BigEndian.AppendUint16(dst, a.Port())
+}
+
+func address(p []byte) netip.AddrPort {
+	ip := netip.AddrFrom16([16]byte(p[:16])).Unmap()
+	return netip.AddrPortFrom(ip, binary.BigEndian.Uint16(p[16:]))
 }
 
 func (l *Link) send(to netip.AddrPort, plain []byte, b *buffer) error {
 	b.sealed = l.sealer.Seal(b.sealed[:0], plain)
+	if len(b.sealed) > l.maxSend {
+		l.counts.oversized.Add(1)
+		l.notices.oversized(l.clock(), len(b.sealed), l.maxSend)
+		return currantturn.ErrTooLarge
+	}
 	conn, remote := l.paths.pick(to, l.clock())
 	if conn == nil {
 		conn = l.conn
@@ -157,55 +189,69 @@
 }
 
 func (l *Link) read(conn *net.UDPConn) {
-	p := make([]byte, MaxDatagramBytes)
+	p := make([]byte, MaxDatagramBytes+1)
 	var e currantturn.Envelope
 	for {
 		n, source, err := conn.ReadFromUDPAddrPort(p)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			if l.closed.Load() || l.paths.retired(conn) {
-				return
-			}
 			l.counts.readErrors.Add(1)
 			continue
 		}
-		l.take(p[:n], netip.AddrPortFrom(source.Addr().Unmap(), source.Port()), &e)
+		l.take(p[:n], unmap(source), &e)
 	}
 }
 
 func (l *Link) take(p []byte, source netip.AddrPort, e *currantturn.Envelope) {
 	now := l.clock()
-	plain, err := l.sealer.Open(now, p)
+	from, frame, err := l.open(now, p)
+	if err == nil {
+		l.counts.received.Add(1)
+		l.paths.observe(from, source, now)
+		err = l.dispatch(frame[0], from, frame[frameHeadBytes:], e)
+	}
 	if err != nil {
 		l.counts.refuse(err)
-		return
+		l.notices.refused(now, source, len(p), err)
+	}
+}
+
+// open returns the authentic frame of a datagram for this process, and who
+// sent it.
+func (l *Link) open(now time.Time, p []byte) (from netip.AddrPort, frame []byte, err error) {
+	if len(p) > MaxDatagramBytes {
+		return from, nil, currantturn.ErrTooLarge
 	}
-	if len(plain) < frameHeadBytes {
-		l.counts.malformed.Add(1)
-		return
+	frame, err = l.sealer.Open(now, p)
+	if err != nil {
+		return from, nil, err
 	}
-	ip := netip.AddrFrom16([16]byte(plain[1:17])).Unmap()
-	from := netip.AddrPortFrom(ip, binary.BigEndian.Uint16(plain[17:]))
-	l.paths.observe(from, source, now)
-	l.counts.received.Add(1)
-	l.dispatch(plain[0], from, plain[frameHeadBytes:], e)
+	if len(frame) < frameHeadBytes {
+		return from, nil, currantturn.ErrMalformed
+	}
+	if address(frame[1+addressBytes:]) != l.self {
+		return from, nil, errMisdirected
+	}
+	return address(frame[1:]), frame, nil
 }
 
-func (l *Link) dispatch(frame byte, from netip.AddrPort, body []byte, e *currantturn.Envelope) {
+func (l *Link) dispatch(frame byte, from netip.AddrPort, body []byte, e *currantturn.Envelope) error {
 	switch frame {
 	case frameEnvelope:
 		if err := envelope.Decode(body, l.names(), e); err != nil {
-			l.counts.malformed.Add(1)
-			return
+			return err
 		}
 		l.receiver.ReceiveEnvelope(from, e)
 	case frameMessage:
 		m, err := message.Decode(body)
 		if err != nil {
-			l.counts.malformed.Add(1)
-			return
+			return err
 		}
 		l.receiver.ReceiveMessage(from, m)
 	default:
-		l.counts.malformed.Add(1)
+		return currantturn.ErrMalformed
 	}
+	return nil
 }
--- a/internal/transport/link/paths.go
+++ b/internal/transport/link/paths.go
@@ -20,6 +20,7 @@
 	peers map[netip.AddrPort]path
 	fresh map[*net.UDPConn]netip.AddrPort
 	order []*net.UDPConn // oldest first
+	swept time.Time
 }
 
 func newPaths() *paths {
@@ -57,17 +58,41 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, ok = p.peers[peer]
-	if !ok && len(p.peers) >= MaxPaths {
-		return
-	}
+	known = p.peers[peer]
 	known.source, known.observed = source, now
 	if source == peer {
 		known.source = netip.AddrPort{}
 	}
+	p.set(peer, known, now)
+}
+
+// set keeps a path that differs from the plain one while there is room.
+func (p *paths) set(peer netip.AddrPort, known path, now time.Time) {
+	if known.fresh == nil && !known.source.IsValid() {
+		delete(p.peers, peer)
+		return
+	}
+	if _, ok := p.peers[peer]; !ok && len(p.peers) >= MaxPaths && !p.sweep(now) {
+		return
+	}
 	p.peers[peer] = known
 }
 
+// sweep forgets the paths that are idle and says whether there were any.
+func (p *paths) sweep(now time.Time) bool {
+	if now.Sub(p.swept) < PathIdle {
+		return false
+	}
+	p.swept = now
+	before := len(p.peers)
+	for peer, known := range p.peers {
+		if known.fresh == nil && now.Sub(known.observed) >= PathIdle {
+			delete(p.peers, peer)
+		}
+	}
+	return len(p.peers) < before
+}
+
 // renew makes conn the socket for a peer and closes the one it replaces.
 func (p *paths) renew(peer netip.AddrPort, conn *net.UDPConn) {
 	p.mu.Lock()
@@ -92,7 +117,7 @@
 	delete(p.fresh, conn)
 	known := p.peers[peer]
 	known.fresh = nil
-	p.peers[peer] = known
+	p.set(peer, known, known.observed)
 	for i, c := range p.order {
 		if c == conn {
 			p.order = append(p.order[:i], p.order[i+1:]...)
@@ -102,14 +127,6 @@
 	_ = conn.Close()
 }
 
-// retired says whether conn was a fresh socket that has been replaced.
-func (p *paths) retired(conn *net.UDPConn) bool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	_, current := p.fresh[conn]
-	return !current
-}
-
 func (p *paths) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
