--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,9 @@
 	"github.com/currantturn/currantturn/internal/audit"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/standin/authority"
 	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/identity"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
@@ -92,13 +95,26 @@
 	return w.StatusCode, string(text)
 }
 
-func TestStatusText(t *testing.T) {
-	var b bytes.Buffer
-	s := status()
-	if err := s.WriteText(&b); err != nil {
-		t.Fatal(err)
+func TestText(t *testing.T) {
+	p := providers()
+	for name, write := range map[string]func(io.Writer) error{
+		"status_text":   func(w io.Writer) error { s := status(); return s.WriteText(w) },
+		"members_text":  func(w io.Writer) error { return admin.WriteMembers(w, p.Members(1)) },
+		"flows_text":    func(w io.Writer) error { return admin.WriteFlows(w, []admin.BackendFlows{{"verify", "verify-1", 7}}) },
+		"verdicts_text": func(w io.Writer) error { return admin.WriteVerdicts(w, p.Verdicts(1)) },
+		"audit_text": func(w io.Writer) error {
+			return admin.WriteAudit(w, []audit.Entry{
+				{Position: 1, Author: "asha", Published: start, Seen: start, Verdict: audit.Accepted, Version: 1, InForce: start},
+				{Position: 2, Author: "juma\t\x1b[2J", Published: start, Seen: start, Verdict: audit.Pending},
+			})
+		},
+	} {
+		var b bytes.Buffer
+		if err := write(&b); err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, name, b.Bytes())
 	}
-	goldie.New(t).Assert(t, "status_text", b.Bytes())
 }
 
 var _ = Describe("resources", func() {
@@ -149,17 +165,34 @@
 
 	It("is read by its client", func() {
 		c := admin.NewClient(serve(admin.Options{Insecure: true, Providers: providers()}), nil)
-		s, err := c.Status(context.Background())
+		s, err := admin.Read[admin.Status](context.Background(), c, admin.PathStatus)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s).To(Equal(status()))
-		m, err := c.Members(context.Background())
+		m, err := admin.Read[[]admin.Member](context.Background(), c, admin.PathMembers)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(m).To(HaveLen(1))
-		_, err = admin.NewClient(serve(admin.Options{Insecure: true}), nil).Status(context.Background())
+		c = admin.NewClient(serve(admin.Options{Insecure: true}), nil)
+		_, err = admin.Read[admin.Status](context.Background(), c, admin.PathStatus)
 		Expect(err).To(MatchError(currantturn.ErrUnavailable))
 	})
 })
 
+// issue writes a certificate of the authority, its key and the authority into
+// a directory.
+func issue(a *authority.Authority, dir string) admin.Credentials {
+	GinkgoHelper()
+	f, err := a.Write(time.Now(), dir, identity.Peer{Role: currantturn.RoleAgent, Name: "verify-1"})
+	Expect(err).NotTo(HaveOccurred())
+	return admin.Credentials{CAFile: f.Authorities, CertificateFile: f.Certificate, KeyFile: f.Key}
+}
+
+func newAuthority() *authority.Authority {
+	GinkgoHelper()
+	a, err := authority.New(time.Now())
+	Expect(err).NotTo(HaveOccurred())
+	return a
+}
+
 var _ = Describe("mutual TLS", func() {
 	It("is not left out by accident", func() {
 		for _, opts := range []admin.Options{
@@ -174,25 +207,25 @@
 
 	It("admits certificates of its authority only, and reports the others", func() {
 		fleet, other := newAuthority(), newAuthority()
-		files := fleet.issue("server")
+		dir := GinkgoT().TempDir()
+		files := issue(fleet, dir)
 		cfg, err := files.ServerTLS()
 		Expect(err).NotTo(HaveOccurred())
 		refused := make(chan currantturn.Event, 8)
 		address := serve(admin.Options{TLS: cfg, Providers: providers(), Report: func(e currantturn.Event) { refused <- e }})
 
 		read := func(cfg *tls.Config) error {
-			_, err := admin.NewClient(address, cfg).Status(context.Background())
+			_, err := admin.Read[admin.Status](context.Background(), admin.NewClient(address, cfg), admin.PathStatus)
 			return err
 		}
-		operator := fleet.issue("operator")
-		good, err := operator.ClientTLS()
+		good, err := issue(fleet, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read(good)).To(Succeed())
 
 		anonymous := good.Clone()
 		anonymous.Certificates = nil
 		Expect(read(anonymous)).To(MatchError(currantturn.ErrUnavailable))
-		foreign, err := other.issue("operator").ClientTLS()
+		foreign, err := issue(other, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		foreign.RootCAs = good.RootCAs
 		Expect(read(foreign)).To(MatchError(currantturn.ErrUnavailable))
@@ -203,16 +236,20 @@
 			Expect(event.Check(e)).To(Succeed())
 		}
 
+		By("keeping the earlier files while the new ones do not fit each other")
+		Expect(os.WriteFile(files.KeyFile, nil, 0o600)).To(Succeed())
+		Expect(read(good)).To(Succeed())
+
 		By("using files replaced since its start")
-		other.replace(files)
+		issue(other, dir)
 		Expect(read(good)).To(MatchError(currantturn.ErrUnavailable))
-		renewed, err := other.issue("operator").ClientTLS()
+		renewed, err := issue(other, GinkgoT().TempDir()).ClientTLS()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(read(renewed)).To(Succeed())
 	})
 
 	It("names the file that does not load", func() {
-		files := newAuthority().issue("server")
+		files := issue(newAuthority(), GinkgoT().TempDir())
 		files.CAFile = files.KeyFile
 		_, err := files.ServerTLS()
 		Expect(err).To(MatchError(currantturn.ErrMalformed))
--- a/internal/admin/credentials.go
+++ b/internal/admin/credentials.go
@@ -3,9 +3,10 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
+	"sync/atomic"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/rotisserie/eris"
 )
 
@@ -17,16 +18,23 @@
 }
 
 // ServerTLS returns a configuration that requires a client certificate of the
-// authority; the files are read at each handshake, so that they can be replaced.
+// authority; the files are read at each handshake, so that they can be replaced,
+// and the last ones that fit each other are used.
 func (c Credentials) ServerTLS() (*tls.Config, error) {
-	if _, err := c.loadServer(); err != nil {
+	first, err := c.loadServer()
+	if err != nil {
 		return nil, err
 	}
+	var last atomic.Pointer[tls.Config]
+	last.Store(first)
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		ClientAuth: tls.RequireAndVerifyClientCert,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			return c.loadServer()
+			if cfg, err := c.loadServer(); err == nil {
+				last.Store(cfg)
+			}
+			return last.Load(), nil
 		},
 	}, nil
 }
@@ -62,7 +70,7 @@
 	if err != nil {
 		return certificate, nil, eris.Wrap(err, c.CertificateFile)
 	}
-	ca, err := os.ReadFile(c.CAFile)
+	ca, err := file.Read(c.CAFile, maxCredentialBytes)
 	if err != nil {
 		return certificate, nil, eris.Wrap(err, "authority")
 	}
