--- a/internal/state/configuration/snapshot.go
+++ b/internal/state/configuration/snapshot.go
@@ -199,7 +199,9 @@
 			return s, err
 		}
 	}
-	s.Backends = make([]currantturn.BackendServer, len(in.Backends))
+	if len(in.Backends) > 0 {
+		s.Backends = make([]currantturn.BackendServer, len(in.Backends))
+	}
 	for i := range in.Backends {
 		if err := decodeBackend(&in.Backends[i], &s.Backends[i]); err != nil {
 			return s, err
@@ -226,9 +228,10 @@
 	return b.Stream.UnmarshalBinary(in.Stream)
 }
 
-// increasing orders strictly: equal names count as out of order.
+// increasing orders strictly for slices.IsSortedFunc: equal names are out of
+// order.
 func increasing[T ~string](a, b T) int {
-	if a < b {
+	if a <= b {
 		return -1
 	}
 	return 1
--- /dev/null
+++ b/internal/transport/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform reads the platform's configuration service over HTTP.
+package platform
