--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,13 +55,10 @@
 
 func verdict(accepted bool) func(context.Context, command.PatchCheck) (*command.PatchVerdict, error) {
 	return func(_ context.Context, c command.PatchCheck) (*command.PatchVerdict, error) {
-		v := &command.PatchVerdict{Accepted: accepted, Changes: []string{"backend server verify-1 drains"}}
 		if accepted {
-			v.Version = c.Against + 1
-		} else {
-			v.Reason = "builds on version " + fmt.Sprint(c.Against) + ", not 9"
+			return &command.PatchVerdict{Accepted: true, Version: c.Against + 1, Head: c.Against, Changes: []string{"~ verify-1"}}, nil
 		}
-		return v, nil
+		return &command.PatchVerdict{Version: c.Against, Head: 9, Reasons: []string{"unknown service"}}, nil
 	}
 }
 
@@ -85,8 +82,8 @@
 		Entry("completion", command.Hooks{}, "completion bash", 0, "completion script"),
 		Entry("good settings", command.Hooks{}, "settings check "+settingsDir+"agent.ini", 0, "127.0.0.1:8080"),
 		Entry("process that ends", failing(nil), "balancer --settings "+settingsDir+"balancer.ini", 0, "process_stopped"),
-		Entry("accepted patch", command.Hooks{CheckPatch: verdict(true)}, patchCheck, 0, "in force as version 8\n  backend server verify-1 drains\n"),
-		Entry("rejected patch", command.Hooks{CheckPatch: verdict(false)}, patchCheck, 1, "rejected: builds on version 7, not 9\n"),
+		Entry("accepted patch", command.Hooks{CheckPatch: verdict(true)}, patchCheck, 0, "in force as version 8\n~ verify-1\n"),
+		Entry("rejected patch", command.Hooks{CheckPatch: verdict(false)}, patchCheck, 1, "rejected; version 7 stays in force\n! unknown service\nnote: the log has reached version 9, which a patch must build on now\n"),
 		Entry("rejected patch as JSON", command.Hooks{CheckPatch: verdict(false)}, patchCheck+" --format json", 1, `"accepted": false`),
 		Entry("failed invariant", failing(eris.Wrap(command.ErrRejected, "2 wrong answers")), "try polepa", 1, "2 wrong answers"),
 		Entry("no command", command.Hooks{}, "", 2, "a command is missing"),
@@ -99,6 +96,8 @@
 		Entry("absent settings", command.Hooks{}, "agent --settings absent.ini", 2, "absent.ini: "),
 		Entry("settings of the other role", command.Hooks{}, "agent --settings "+settingsDir+"balancer.ini", 2, "[process] role: is balancer, not agent"),
 		Entry("bad format", command.Hooks{}, "status --admin 127.0.0.1:1 --format xml", 2, `"xml" is neither text nor json`),
+		Entry("bad view", command.Hooks{}, "status --admin 127.0.0.1:1 --show all", 2, `"all" is not one of`),
+		Entry("no process to show a trail of", command.Hooks{}, "status --insecure --admin 127.0.0.1:1 --show audit", 3, "unavailable"),
 		Entry("bad address", command.Hooks{}, "status --admin localhost", 2, `"localhost" is not an IP address`),
 		Entry("no certificates", command.Hooks{}, "status --admin 127.0.0.1:1", 2, "--ca is missing"),
 		Entry("absent patch", command.Hooks{CheckPatch: verdict(true)}, "patch check absent --against 7 --log x", 2, "absent"),
@@ -147,14 +146,19 @@
 			Address: netip.MustParseAddrPort("127.0.0.1:0"), Insecure: true,
 			Providers: admin.Providers{Status: func() admin.Status {
 				return admin.Status{Name: "entry-1", Role: currantturn.RoleBalancer, Serving: true}
+			}, Flows: func(int) []admin.BackendFlows {
+				return []admin.BackendFlows{{Service: "verify", Backend: "verify-1", Flows: 7}}
 			}},
 		})
 		Expect(err).NotTo(HaveOccurred())
 		go func() { _ = s.Serve() }()
 		DeferCleanup(func() { Expect(s.Shutdown(context.Background())).To(Succeed()) })
-		for format, text := range map[string]string{"text": "serving, up 0s", "json": `"serving": true`} {
+		for flags, text := range map[string]string{
+			"": "serving, up 0s", "--format json": `"serving": true`,
+			"--show flows": "verify   verify-1  7\n", "--show flows --format json": `"flows": 7`,
+		} {
 			p, out, _ := program(command.Hooks{})
-			Expect(run(p, "status --insecure --admin "+s.Address().String()+" --format "+format)).To(Equal(command.ExitOK))
+			Expect(run(p, "status --insecure --admin "+s.Address().String()+" "+flags)).To(Equal(command.ExitOK))
 			Expect(out.String()).To(ContainSubstring(text))
 		}
 	})
@@ -202,17 +206,24 @@
 		Expect(errs.String()).To(ContainSubstring("exceeded its grace"))
 	})
 
-	DescribeTable("end a process at once when they come twice", func(hook func(context.Context, *command.Process) error) {
-		signals, code, errs := start(hook)
+	It("end a process at once when they come twice, through its context", func() {
+		var ended atomic.Bool
+		signals, code, _ := start(func(ctx context.Context, _ *command.Process) error {
+			<-ctx.Done()
+			ended.Store(true)
+			return nil
+		})
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGTERM
+		Eventually(code, time.Minute).Should(Receive(Equal(command.ExitFailure)))
+		Expect(ended.Load()).To(BeTrue())
+	})
+
+	It("end a process at once when they come twice, even one that heeds nothing", func() {
+		signals, code, errs := start(func(context.Context, *command.Process) error { select {} })
 		signals <- syscall.SIGTERM
 		signals <- syscall.SIGTERM
 		Eventually(code, time.Minute).Should(Receive(Equal(command.ExitFailure)))
 		Expect(errs.String()).To(ContainSubstring("shutdown_forced"))
-	},
-		Entry("that heeds its context", func(ctx context.Context, _ *command.Process) error {
-			<-ctx.Done()
-			return nil
-		}),
-		Entry("that heeds nothing", func(context.Context, *command.Process) error { select {} }),
-	)
+	})
 })
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -7,13 +7,8 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/balancer"
-	"github.com/currantturn/currantturn/internal/coordination/rank"
-	"github.com/currantturn/currantturn/internal/transport/link"
 )
 
-// linkReaders is how many goroutines read the link's socket.
-const linkReaders = 2
-
 // BalancerOptions are the parts of a balancer process.
 type BalancerOptions struct {
 	Name      currantturn.VMName
@@ -22,7 +17,8 @@
 	Advertise netip.AddrPort
 	Entry     currantturn.Entry
 	Sealer    currantturn.Sealer
-	Key       rank.Key
+	Secrets   Secrets
+	Seed      uint64 // of random choices
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
@@ -37,21 +33,21 @@
 
 // StartBalancer binds the sockets and starts a balancer.
 func StartBalancer(opts BalancerOptions) (*Balancer, error) {
-	n := newNode(opts.Clock, opts.Report)
-	n.entry = opts.Entry
-	l, err := link.Open(link.Options{
-		Listen: opts.Link, Advertise: opts.Advertise, Sealer: opts.Sealer, Names: n.names, Clock: opts.Clock,
-	})
+	n, err := openNode(opts.Link, opts.Advertise, opts.Sealer, opts.Clock, opts.Report)
 	if err != nil {
 		return nil, err
 	}
-	n.link = l
-	n.router = balancer.New(balancer.Options{Self: l.Self(), Key: opts.Key})
-	n.add(n.router)
+	n.entry = opts.Entry
+	n.router = balancer.New(balancer.Options{
+		Self:    n.link.Self(),
+		Key:     opts.Secrets.Rank,
+		Seed:    opts.Seed,
+		ConnIDs: opts.Secrets.ConnIDs,
+	})
+	n.add(n.router, balancer.Kinds()...)
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
-	l.Start(n, linkReaders)
-	go n.tick(ctx)
+	n.start(ctx)
 	go b.serve()
 	return b, nil
 }
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -2,18 +2,30 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
+	"encoding/binary"
 	"fmt"
+	"maps"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/admission"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/seal"
+	"github.com/currantturn/currantturn/internal/standin/authority"
 	"github.com/currantturn/currantturn/internal/standin/backend"
 	"github.com/currantturn/currantturn/internal/standin/fabric"
 	"github.com/currantturn/currantturn/internal/transport/entry"
+	"github.com/currantturn/currantturn/internal/transport/identity"
+	"github.com/currantturn/currantturn/pkg/patch"
+	"golang.org/x/sync/errgroup"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -22,8 +34,12 @@
 type site struct {
 	plan      Deployment
 	fabric    *fabric.Fabric
-	tls       *tls.Config
-	key       rank.Key
+	tls       *tls.Config // towards callers
+	ca        *authority.Authority
+	dir       string // of the processes' certificates
+	secrets   core.Secrets
+	ring      seal.Ring
+	broken    map[string]int // invariants that a process reported as broken
 	mu        sync.Mutex
 	services  []currantturn.Service
 	version   currantturn.Version
@@ -53,11 +69,32 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := throwAwayTLS()
+	dir, err := os.MkdirTemp("", "currantturn-try-")
 	if err != nil {
 		return nil, err
 	}
-	s := &site{plan: plan, fabric: f, tls: cfg, key: rank.Key{K0: seed, K1: ^seed}}
+	ca, err := authority.New(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := callerTLS(ca)
+	if err != nil {
+		return nil, err
+	}
+	secrets, err := core.NewSecrets(binary.BigEndian.AppendUint64(make([]byte, core.MasterBytes), seed))
+	if err != nil {
+		return nil, err
+	}
+	s := &site{
+		plan:    plan,
+		fabric:  f,
+		tls:     cfg,
+		ca:      ca,
+		dir:     dir,
+		secrets: secrets,
+		ring:    seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{byte(seed), 1}}}},
+		broken:  make(map[string]int),
+	}
 	for _, p := range plan.Services {
 		if err := s.startService(p); err != nil {
 			return nil, err
@@ -73,12 +110,58 @@
 	return s, nil
 }
 
+// sealer returns the sealer of one process; each has a sender of its own.
+func (s *site) sealer() (*seal.Sealer, error) {
+	return seal.New(s.ring, time.Now, rand.Reader)
+}
+
+// identity issues the certificate of one process.
+func (s *site) identity(p identity.Peer) (*identity.Identity, error) {
+	dir := filepath.Join(s.dir, p.Name)
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return nil, err
+	}
+	files, err := s.ca.Write(time.Now(), dir, p)
+	if err != nil {
+		return nil, err
+	}
+	return identity.Open(files, time.Now, s.report)
+}
+
+func callerTLS(ca *authority.Authority) (*tls.Config, error) {
+	cert, key, err := ca.Issue(time.Now(), identity.Peer{Role: currantturn.RoleAgent, Name: "try"}, "try")
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}}, nil
+}
+
+// report counts the invariants that a process found broken.
+func (s *site) report(e currantturn.Event) {
+	if e.Number != event.InvariantViolated {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken[fmt.Sprint(e.Fields)]++
+}
+
+func (s *site) violations() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.broken)
+}
+
 func (s *site) startService(p ServicePlan) error {
 	address, err := s.fabric.AddService()
 	if err != nil {
 		return err
 	}
-	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}}
+	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}, Limits: patch.DefaultLimits}
 	for i := range p.Backends {
 		h, err := s.startHost(p, i)
 		if err != nil {
@@ -89,6 +172,7 @@
 			ID:            h.id,
 			FailureDomain: s.domain(i),
 			Agent:         h.agent.Link(),
+			Stream:        h.agent.Stream(),
 			Slots:         p.Slots,
 			Weight:        p.Slots,
 			State:         currantturn.BackendActive,
@@ -108,18 +192,34 @@
 	if err != nil {
 		return nil, err
 	}
+	sealer, err := s.sealer()
+	if err != nil {
+		return nil, err
+	}
+	self, err := s.identity(identity.Peer{Role: currantturn.RoleAgent, Name: string(id)})
+	if err != nil {
+		return nil, err
+	}
 	a, err := core.StartAgent(core.AgentOptions{
 		ID:        id,
 		Service:   p.Name,
 		Domain:    s.domain(i),
 		Link:      loopback,
+		Stream:    loopback,
 		Backend:   b.Addr(),
 		CallerTLS: s.tls,
-		ResetKey:  [32]byte{1},
-		Sealer:    plainSealer{},
-		Key:       s.key,
+		Identity:  self,
+		Retention: claimRetention,
+		ClaimSize: claimStoreBytes,
+		ClockSkew: clockSkew,
+		Watches:   admission.DefaultWatches,
+		ColdFor:   coldFor,
+		Sealer:    sealer,
+		Secrets:   s.secrets,
+		Seed:      rank.Seed(id),
+		Assert:    true,
 		Clock:     time.Now,
-		Report:    func(currantturn.Event) {},
+		Report:    s.report,
 	})
 	if err != nil {
 		return nil, err
@@ -132,17 +232,22 @@
 	if err != nil {
 		return nil, err
 	}
+	sealer, err := s.sealer()
+	if err != nil {
+		return nil, err
+	}
 	s.started++
 	name := fmt.Sprintf("entry-%d", s.started)
 	b, err := core.StartBalancer(core.BalancerOptions{
-		Name:   currantturn.VMName(name),
-		Domain: s.domain(s.started - 1),
-		Link:   loopback,
-		Entry:  e,
-		Sealer: plainSealer{},
-		Key:    s.key,
-		Clock:  time.Now,
-		Report: func(currantturn.Event) {},
+		Name:    currantturn.VMName(name),
+		Domain:  s.domain(s.started - 1),
+		Link:    loopback,
+		Entry:   e,
+		Sealer:  sealer,
+		Secrets: s.secrets,
+		Seed:    uint64(s.started),
+		Clock:   time.Now,
+		Report:  s.report,
 	})
 	if err != nil {
 		return nil, err
@@ -213,17 +318,20 @@
 	return netip.AddrPort{}
 }
 
+// close stops every agent as planned, all at once, and then the rest.
 func (s *site) close(ctx context.Context) error {
-	var first error
+	var stops errgroup.Group
+	for _, h := range s.hosts {
+		stops.Go(func() error { return h.agent.Shutdown(ctx) })
+	}
+	err := stops.Wait()
 	for _, h := range s.hosts {
-		if err := h.agent.Shutdown(ctx); err != nil && first == nil {
-			first = err
-		}
 		_ = h.backend.Close()
 	}
 	for _, d := range s.balancers {
 		_ = d.balancer.Close()
 	}
 	_ = s.fabric.Close()
-	return first
+	_ = os.RemoveAll(s.dir)
+	return err
 }
