--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -28,11 +28,12 @@
 
 // Configuration says which version is in force here.
 type Configuration struct {
-	Version      currantturn.Version `json:"version"`
-	HighestHeard currantturn.Version `json:"highest_heard"`
-	Digest       string              `json:"digest"`
-	InForce      time.Time           `json:"in_force,omitzero"`
-	LastRead     time.Time           `json:"last_read,omitzero"` // of the platform, or of a peer's records
+	Version       currantturn.Version `json:"version"`
+	Position      uint64              `json:"position"`       // of the newest record folded here
+	HeardPosition uint64              `json:"heard_position"` // highest that anyone told of
+	Digest        string              `json:"digest"`
+	InForce       time.Time           `json:"in_force,omitzero"`
+	LastRead      time.Time           `json:"last_read,omitzero"` // of the platform, or of a peer's records
 }
 
 // Requests is the work of an agent.
--- a/internal/admin/text.go
+++ b/internal/admin/text.go
@@ -53,8 +53,8 @@
 	if !c.InForce.IsZero() {
 		text = " since " + timeText(c.InForce)
 	}
-	if c.HighestHeard > c.Version {
-		text += fmt.Sprintf("; version %d heard of", c.HighestHeard)
+	if c.HeardPosition > c.Position {
+		text += fmt.Sprintf("; %d records behind", c.HeardPosition-c.Position)
 	}
 	return text
 }
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -64,6 +65,7 @@
 	handler  *request.Handler
 	peers    *request.PeerServer
 	feed     *feed // nil when configured by Configure alone
+	stopping atomic.Bool
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	services map[netip.AddrPort]*front
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -27,12 +28,13 @@
 
 // Balancer is a running balancer process.
 type Balancer struct {
-	node    *node
-	entry   currantturn.Entry
-	machine *balancer.Balancer
-	feed    *feed // nil when configured by Configure alone
-	cancel  context.CancelFunc
-	done    chan struct{}
+	node     *node
+	entry    currantturn.Entry
+	machine  *balancer.Balancer
+	feed     *feed // nil when configured by Configure alone
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // StartBalancer binds the sockets and starts a balancer.
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/admin"
+	"github.com/currantturn/currantturn/internal/coordination/gossip"
+	"github.com/currantturn/currantturn/internal/coordination/membership"
+	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/state/configuration"
+	"github.com/currantturn/currantturn/pkg/patch"
+)
+
+// maxMembers bounds the members that one status counts.
+const maxMembers = 20_000
+
+// Log is the accepted log of configurations.
+func (f *feed) Log() *configuration.Log {
+	if f == nil {
+		return configuration.NewLog(&patch.Configuration{})
+	}
+	return f.machine.Log()
+}
+
+// status fills what the dissemination knows.
+func (f *feed) status() admin.Status {
+	if f == nil {
+		return admin.Status{}
+	}
+	c := f.machine.Counters()
+	current := f.machine.Log().Current()
+	return admin.Status{
+		Serving: c.Ready,
+		Configuration: admin.Configuration{
+			Version:       current.Version,
+			Position:      c.Position,
+			HeardPosition: c.HeardPosition,
+			Digest:        current.Digest.String(),
+		},
+	}
+}
+
+func (f *feed) counters() gossip.Counters {
+	if f == nil {
+		return gossip.Counters{}
+	}
+	return f.machine.Counters()
+}
+
+// Log is the accepted log of configurations.
+func (a *Agent) Log() *configuration.Log {
+	return a.feed.Log()
+}
+
+// Log is the accepted log of configurations.
+func (b *Balancer) Log() *configuration.Log {
+	return b.feed.Log()
+}
+
+// Stopping makes the status tell of the planned stop.
+func (a *Agent) Stopping() {
+	a.stopping.Store(true)
+}
+
+// Stopping makes the status tell of the planned stop.
+func (b *Balancer) Stopping() {
+	b.stopping.Store(true)
+}
+
+// Status is what the agent knows of itself.
+func (a *Agent) Status() admin.Status {
+	s := a.feed.status()
+	load := a.gate.Load(a.opts.Clock())
+	s.Stopping = a.stopping.Load()
+	s.Serving = s.Serving && !s.Stopping
+	s.Flows = a.machine.Counters().Flows
+	s.Members = make(map[string]int)
+	for _, m := range a.Members(maxMembers) {
+		s.Members[m.State]++
+	}
+	s.Requests = &admin.Requests{
+		Slots:   load.Slots,
+		Running: load.Running,
+		Queued:  load.Queued,
+		Records: a.claims.Counters().Records,
+	}
+	return s
+}
+
+// Status is what the balancer knows of itself.
+func (b *Balancer) Status() admin.Status {
+	s := b.feed.status()
+	s.Stopping = b.stopping.Load()
+	s.Serving = s.Serving && !s.Stopping
+	s.Flows = b.machine.Counters().Hints
+	return s
+}
+
+// Members are the agents of the service, as this one knows them.
+func (a *Agent) Members(limit int) []admin.Member {
+	var out []admin.Member
+	a.machine.Members().With(func(all []*membership.Member) {
+		for _, m := range all {
+			if len(out) == limit {
+				return
+			}
+			out = append(out, admin.Member{
+				Name:          string(m.Server.ID),
+				Role:          currantturn.RoleAgent,
+				FailureDomain: m.Server.FailureDomain,
+				Link:          m.Server.Agent,
+				State:         stateOf(m),
+				Since:         m.Booted,
+			})
+		}
+	})
+	return out
+}
+
+func stateOf(m *membership.Member) string {
+	if m.Leaving && m.State == membership.Alive {
+		return "leaving"
+	}
+	return string(m.State)
+}
+
+// Members are the processes of the platform's list.
+func (b *Balancer) Members(limit int) []admin.Member {
+	if b.feed == nil {
+		return nil
+	}
+	var out []admin.Member
+	for _, vm := range b.feed.machine.VMs() {
+		if len(out) == limit {
+			break
+		}
+		out = append(out, admin.Member{
+			Name:          string(vm.Name),
+			Role:          vm.Role,
+			FailureDomain: vm.FailureDomain,
+			Link:          vm.Link,
+			State:         string(vm.State),
+		})
+	}
+	return out
+}
+
+// Flows counts the flows held here.
+func (a *Agent) Flows(int) []admin.BackendFlows {
+	return []admin.BackendFlows{{Service: a.opts.Service, Backend: a.opts.ID, Flows: a.machine.Counters().Flows}}
+}
+
+// Flows returns nothing, because a balancer holds no flows.
+func (b *Balancer) Flows(int) []admin.BackendFlows {
+	return nil
+}
+
+// Publish makes the agent's counters readable.
+func (a *Agent) Publish(r *metric.Registry) {
+	r.Publish("link", func() any { return a.node.link.Counters() })
+	r.Publish("agent", func() any { return a.machine.Counters() })
+	r.Publish("claim", func() any { return a.claims.Counters() })
+	r.Publish("admission", func() any { return a.gate.Counters() })
+	r.Publish("limit", func() any { return a.limiter.Counters() })
+	r.Publish("request", func() any { return a.handler.Counters() })
+	r.Publish("gossip", func() any { return a.feed.counters() })
+}
+
+// Publish makes the balancer's counters readable.
+func (b *Balancer) Publish(r *metric.Registry) {
+	r.Publish("link", func() any { return b.node.link.Counters() })
+	r.Publish("balancer", func() any { return b.machine.Counters() })
+	r.Publish("gossip", func() any { return b.feed.counters() })
+}
--- /dev/null
+++ b/internal/process/agent.go
@@ -0,0 +1,58 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/transport/probe"
+)
+
+// RunAgent runs an agent until its planned stop or the context's end.
+func RunAgent(ctx context.Context, p *command.Process) error {
+	x, err := newParts(p)
+	if err != nil {
+		return err
+	}
+	o := p.Options
+	callers, err := readCallerTLS(o.Backend.CallerCertificateFile, o.Backend.CallerKeyFile)
+	if err != nil {
+		return err
+	}
+	feed := x.feed()
+	feed.InForce = x.announceReady(feed.InForce, nil)
+	a, err := core.StartAgent(core.AgentOptions{
+		ID:        currantturn.BackendID(o.Process.Name),
+		Service:   o.Backend.Service,
+		Domain:    o.Process.FailureDomain,
+		Link:      o.Link.Address,
+		Advertise: o.Link.AdvertisedAddress,
+		Stream:    o.Backend.StreamAddress,
+		Backend:   o.Backend.Address,
+		Prober:    probe.New(o.Backend.HealthURL, o.Backend.LoadURL),
+		CallerTLS: callers,
+		Identity:  x.identity,
+		Sealer:    x.sealer,
+		Secrets:   x.secrets,
+		Seed:      x.seed,
+		Assert:    o.Flows.CheckInvariants,
+		Records:   o.Flows.TableSize,
+		FlowIdle:  o.Flows.IdleTimeout,
+		Retention: o.Requests.Retention,
+		ClaimSize: int(o.Requests.RecordStoreBytes),
+		ClockSkew: o.Requests.ClockSkew,
+		Watches:   o.Requests.WatchesMax,
+		ColdFor:   o.Requests.ColdStart,
+		Feed:      feed,
+		Clock:     time.Now,
+		Report:    x.report,
+	})
+	if err != nil {
+		return err
+	}
+	x.trail.log = a.Log
+	a.Publish(x.metrics)
+	return x.run(ctx, p, a, a.Shutdown)
+}
--- /dev/null
+++ b/internal/process/keys.go
@@ -0,0 +1,59 @@
+package process
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/hex"
+	"io"
+	"os"
+
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/protocol/seal"
+	"github.com/rotisserie/eris"
+)
+
+// readKeyFile reads a small file that settings name.
+func readKeyFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	p, err := io.ReadAll(io.LimitReader(f, maxKeyFileBytes+1))
+	if err == nil && len(p) > maxKeyFileBytes {
+		err = eris.Errorf("%s is larger than %d bytes", path, maxKeyFileBytes)
+	}
+	return p, err
+}
+
+// readSecrets reads the fleet's hash key, in hexadecimal.
+func readSecrets(path string) (core.Secrets, error) {
+	p, err := readKeyFile(path)
+	if err != nil {
+		return core.Secrets{}, err
+	}
+	master := make([]byte, hex.DecodedLen(len(bytes.TrimSpace(p))))
+	if _, err := hex.Decode(master, bytes.TrimSpace(p)); err != nil {
+		return core.Secrets{}, eris.Wrapf(err, "hash key in %s", path)
+	}
+	s, err := core.NewSecrets(master)
+	return s, eris.Wrap(err, path)
+}
+
+// readRing reads the fleet's datagram keys.
+func readRing(path string) (seal.Ring, error) {
+	p, err := readKeyFile(path)
+	if err != nil {
+		return seal.Ring{}, err
+	}
+	r, err := seal.ParseRing(p)
+	return r, eris.Wrap(err, path)
+}
+
+func readCallerTLS(certificate, key string) (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "certificate towards callers")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13}, nil
+}
--- /dev/null
+++ b/internal/process/providers.go
@@ -0,0 +1,98 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/admin"
+	"github.com/currantturn/currantturn/internal/audit"
+	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/state/configuration"
+	"github.com/currantturn/currantturn/pkg/patch"
+	"github.com/rotisserie/eris"
+)
+
+// source is a running balancer or agent, as the administration API reads it.
+type source interface {
+	Log() *configuration.Log
+	Status() admin.Status
+	Members(limit int) []admin.Member
+	Flows(limit int) []admin.BackendFlows
+	Stopping()
+	Close() error
+}
+
+func (x *parts) providers(s source) admin.Providers {
+	return admin.Providers{
+		Status:   func() admin.Status { return x.status(s) },
+		Verdicts: x.verdicts,
+		Members:  s.Members,
+		Flows:    s.Flows,
+		Audit:    x.trail.trail.Entries,
+		DryRun: func(_ context.Context, against currantturn.Version, p []byte) (admin.DryRun, error) {
+			return dryRun(s.Log().Current(), against, p)
+		},
+		Metrics: x.metrics,
+	}
+}
+
+// status adds what the process knows to what its role knows.
+func (x *parts) status(s source) admin.Status {
+	out := s.Status()
+	o := x.options.Process
+	out.Name = o.Name
+	out.Role = o.Role
+	out.FailureDomain = o.FailureDomain
+	out.Release = command.Release
+	out.Started = x.started
+	out.Uptime = time.Since(x.started)
+	if in := x.newestInForce(); in != nil {
+		out.Configuration.InForce = in.InForce
+	}
+	return out
+}
+
+func (x *parts) newestInForce() *audit.Entry {
+	entries := x.trail.trail.Entries(audit.Capacity)
+	for i := len(entries) - 1; i >= 0; i-- {
+		if !entries[i].InForce.IsZero() {
+			return &entries[i]
+		}
+	}
+	return nil
+}
+
+func (x *parts) verdicts(limit int) []admin.Verdict {
+	entries := x.trail.trail.Entries(limit)
+	out := make([]admin.Verdict, 0, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		out = append(out, admin.Verdict{
+			Position:  e.Position,
+			Author:    e.Author,
+			Published: e.Published,
+			Verdict:   e.Verdict,
+			Reason:    e.Reason,
+			Version:   e.Version,
+		})
+	}
+	return out
+}
+
+// dryRun judges a patch against the configuration in force; only that one is
+// held here.
+func dryRun(current *patch.Configuration, against currantturn.Version, p []byte) (admin.DryRun, error) {
+	if against != current.Version {
+		return admin.DryRun{Reason: eris.Errorf("version %d is in force, not %d", current.Version, against).Error()}, nil
+	}
+	verdict, diff := patch.Check(current, p)
+	out := admin.DryRun{Accepted: verdict.Outcome == patch.InForce, Version: verdict.Version}
+	if err := verdict.Err(); err != nil {
+		out.Reason = err.Error()
+	}
+	for _, c := range diff {
+		out.Changes = append(out.Changes, c.String())
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/process/run.go
@@ -0,0 +1,67 @@
+package process
+
+import (
+	"context"
+	"errors"
+
+	"github.com/currantturn/currantturn/internal/admin"
+	"github.com/currantturn/currantturn/internal/command"
+)
+
+// run serves the administration API and waits; shutdown gets a context that
+// ends when the planned stop has to become an immediate one.
+func (x *parts) run(ctx context.Context, p *command.Process, s source, shutdown func(context.Context) error) error {
+	api, err := x.serveAdmin(s)
+	if err != nil {
+		return errors.Join(err, s.Close())
+	}
+	background, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go x.reload(background)
+	select {
+	case <-p.Stop:
+		s.Stopping()
+		err = shutdown(ctx)
+	case <-ctx.Done():
+		err = s.Close()
+	}
+	return errors.Join(err, stopAdmin(api))
+}
+
+// serveAdmin returns nil when the settings turn the API off.
+func (x *parts) serveAdmin(s source) (*admin.Server, error) {
+	o := x.options.Admin
+	if !o.Address.IsValid() {
+		return nil, nil
+	}
+	opts := admin.Options{
+		Address:   o.Address,
+		Insecure:  o.Insecure,
+		Providers: x.providers(s),
+		Report:    x.report,
+	}
+	if !o.Insecure {
+		cfg, err := admin.Credentials{
+			CAFile: o.CAFile, CertificateFile: o.CertificateFile, KeyFile: o.KeyFile,
+		}.ServerTLS()
+		if err != nil {
+			return nil, err
+		}
+		opts.TLS = cfg
+	}
+	api, err := admin.Listen(opts)
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = api.Serve() }() // reports its own failures
+	return api, nil
+}
+
+func stopAdmin(api *admin.Server) error {
+	if api == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), adminStopGrace)
+	defer cancel()
+	return api.Shutdown(ctx)
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -37,6 +37,10 @@
 			durations(time.Second, 5*time.Minute), func(o *Options) *time.Duration { return &o.Platform.WatchWait }),
 		key("read_budget_per_second", "0.1", "Mean rate of reads and watches that this process may spend.",
 			rates("reads/s", 0.01, 100), func(o *Options) *float64 { return &o.Platform.ReadBudgetPerSecond }),
+		key("peers", "", "Link addresses of processes that are asked while the platform does not answer.",
+			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Platform.Peers }),
+		key("fleet_size", "64", "Processes that the fleet is expected to have until a configuration tells.",
+			counts("processes", 1, 100_000), func(o *Options) *int { return &o.Platform.FleetSize }),
 	)
 }
 
@@ -55,8 +59,8 @@
 		"entry", currantturn.RoleBalancer,
 		key("kind", "direct", "How the fabric hands packets over: as they are, or behind a PROXY protocol v2 header.",
 			choices(EntryDirect, EntryProxy), func(o *Options) *EntryKind { return &o.Entry.Kind }),
-		key("addresses", "", "UDP addresses that callers' packets arrive at.",
-			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Entry.Addresses }).required(),
+		key("addresses", "", "UDP addresses that callers' packets arrive at; without them a direct entry follows the configuration.",
+			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Entry.Addresses }),
 		key("fabric_answer_address", "", "Where the fabric takes answers; required by kind proxy.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Entry.FabricAnswerAddress }),
 	)
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -46,6 +46,8 @@
 	ReadTimeout         time.Duration
 	WatchWait           time.Duration
 	ReadBudgetPerSecond float64
+	Peers               []netip.AddrPort // asked while the platform does not answer
+	FleetSize           int              // processes expected until a configuration tells
 }
 
 // Link is where the system's own processes reach this one.
