--- a/internal/process/balancer.go
+++ b/internal/process/balancer.go
@@ -60,7 +60,7 @@
 // it follow the addresses of the configuration.
 func openEntry(o *settings.Options) (door currantturn.Entry, listen func(*currantturn.View) error, err error) {
 	if o.Entry.Kind == settings.EntryProxy {
-		door, err = entry.OpenProxy(o.Entry.Addresses[0], o.Entry.FabricAnswerAddress)
+		door, err = entry.OpenProxy(o.Entry.FabricAnswerAddress, o.Entry.Addresses...)
 		return door, nil, err
 	}
 	d := entry.OpenDirect()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,18 +10,10 @@
 	if o.Entry.Kind == EntryProxy && !o.Entry.FabricAnswerAddress.IsValid() && !r.has("entry", "fabric_answer_address") {
 		r.report("entry", "fabric_answer_address", "missing; kind proxy needs it")
 	}
-	r.checkEntryAddresses(o)
-	r.checkAdmin(o)
-}
-
-func (r *reader) checkEntryAddresses(o *Options) {
-	switch {
-	case o.Entry.Kind != EntryProxy:
-	case !r.has("entry", "addresses"):
-		r.report("entry", "addresses", "missing; kind proxy needs one")
-	case len(o.Entry.Addresses) > 1:
-		r.report("entry", "addresses", "kind proxy takes one address only")
+	if o.Entry.Kind == EntryProxy && !r.has("entry", "addresses") {
+		r.report("entry", "addresses", "missing; kind proxy needs at least one")
 	}
+	r.checkAdmin(o)
 }
 
 func (r *reader) checkAdvertised(o *Options) {
--- a/internal/transport/entry/proxy.go
+++ b/internal/transport/entry/proxy.go
@@ -17,24 +17,32 @@
 const (
 	maxDatagramBytes  = 2048
 	socketBufferBytes = 4 << 20
-	// proxyReaders is how many goroutines read the fabric's datagrams.
+	// proxyReaders is how many goroutines read each listening address.
 	proxyReaders = 2
 )
 
 // Proxy is an entry behind a fabric that prepends PROXY protocol v2 headers.
 type Proxy struct {
-	conn      *net.UDPConn
+	conns     []*net.UDPConn // one for each listening address, at least one
 	fabric    netip.AddrPort
 	malformed atomic.Uint64
 }
 
 // OpenProxy listens for the fabric's datagrams and sends answers to it.
-func OpenProxy(at, fabric netip.AddrPort) (*Proxy, error) {
-	conn, err := listen(at)
-	if err != nil {
-		return nil, eris.Wrapf(err, "bind entry address %s", at)
+func OpenProxy(fabric netip.AddrPort, listenAt ...netip.AddrPort) (*Proxy, error) {
+	x := &Proxy{fabric: fabric}
+	for _, at := range listenAt {
+		conn, err := listen(at)
+		if err != nil {
+			_ = x.Close()
+			return nil, eris.Wrapf(err, "bind entry address %s", at)
+		}
+		x.conns = append(x.conns, conn)
+	}
+	if len(x.conns) == 0 {
+		return nil, eris.New("entry without an address")
 	}
-	return &Proxy{conn: conn, fabric: fabric}, nil
+	return x, nil
 }
 
 func listen(at netip.AddrPort) (*net.UDPConn, error) {
@@ -48,26 +56,28 @@
 	return conn, nil
 }
 
-// Addr is the address that the fabric sends to.
+// Addr is the first address that the fabric sends to.
 func (x *Proxy) Addr() netip.AddrPort {
-	return x.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return x.conns[0].LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
 // Serve hands over well-formed datagrams of the fabric until Close.
 func (x *Proxy) Serve(take func(*currantturn.Packet)) error {
 	var readers sync.WaitGroup
-	for range proxyReaders {
-		readers.Go(func() { x.read(take) })
+	for _, conn := range x.conns {
+		for range proxyReaders {
+			readers.Go(func() { x.read(conn, take) })
+		}
 	}
 	readers.Wait()
 	return nil
 }
 
-func (x *Proxy) read(take func(*currantturn.Packet)) {
+func (x *Proxy) read(conn *net.UDPConn, take func(*currantturn.Packet)) {
 	buf := make([]byte, maxDatagramBytes)
 	var p currantturn.Packet
 	for {
-		n, source, err := x.conn.ReadFromUDPAddrPort(buf)
+		n, source, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -95,13 +105,19 @@
 	if err != nil {
 		return err
 	}
-	_, err = x.conn.WriteToUDPAddrPort(b, x.fabric)
+	_, err = x.conns[0].WriteToUDPAddrPort(b, x.fabric)
 	return eris.Wrap(err, "write to the fabric")
 }
 
 // Close ends Serve.
 func (x *Proxy) Close() error {
-	return x.conn.Close()
+	var first error
+	for _, conn := range x.conns {
+		if err := conn.Close(); first == nil {
+			first = err
+		}
+	}
+	return first
 }
 
 // ParseProxied reads a proxied datagram whose source is the caller; the
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -228,7 +228,7 @@
 }
 
 func (s *site) startBalancer() (*door, error) {
-	e, err := entry.OpenProxy(loopback, s.fabric.Addr())
+	e, err := entry.OpenProxy(s.fabric.Addr(), loopback)
 	if err != nil {
 		return nil, err
 	}
