Keep flows over partitions and second copies of a placement

When more than a quarter of a service's agents die at once, a partition is likelier; packets then wait for the holder instead of a reset.

--- a/internal/coordination/affinity/session_test.go
+++ b/internal/coordination/affinity/session_test.go
@@ -121,6 +121,10 @@
 		w.problem(&w.report.split, "%v opens at %s and at %s", p.Flow.Caller, s.home.backend.id, h.id)
 		return
 	default:
+		if !s.broken && s.unmarked && w.apart {
+			s.broken = true
+			w.report.unmarked++
+		}
 		if !s.broken {
 			s.broken = true
 			w.problem(&w.report.broken, "%v (%s) of %s at %s", p.Flow.Caller, p.Mark, s.home.backend.id, h.id)
--- a/internal/coordination/affinity/world_test.go
+++ b/internal/coordination/affinity/world_test.go
@@ -86,12 +86,14 @@
 	flows     map[currantturn.FlowKey]*session
 	order     []*session
 	report    report
+	apart     bool // a partition outlasted the time to a verdict of death
 	vms       []currantturn.VM
 }
 
 // report counts what the invariants forbid and what the tables show.
 type report struct {
 	opened, established, broken, split, foreign, late, violations int
+	unmarked                                                      int // of the broken ones, flows without marks during a partition
 	delivered, hops                                               int
 	problems                                                      []string
 }
--- a/internal/coordination/agent/constants.go
+++ b/internal/coordination/agent/constants.go
@@ -16,9 +16,6 @@
 	// GuardWindow is how long after a change of homes an opening packet is
 	// looked for at its earlier homes.
 	GuardWindow = 10 * time.Second
-	// DeadGrace is how long packets still go to a holder that was declared dead,
-	// because it may only be paused.
-	DeadGrace = 3 * time.Second
 	// SearchDeadline ends a search whose last answers are missing.
 	SearchDeadline = 3 * time.Second
 	// AnnounceTimeout is how long an announcement may stay unacknowledged.
@@ -33,7 +30,6 @@
 	EchoEvery = 2 * time.Second
 
 	maxHops        = 8                      // agents that an envelope may pass
-	cycleHops      = 5                      // agents that an opening packet passes only in a cycle
 	maxTrustedHops = 2                      // agents after which the receiver acts as the home
 	maxHistory     = 8                      // earlier rankings that are kept
 	maxSearches    = 64                     // searches per shard
--- a/internal/coordination/agent/place.go
+++ b/internal/coordination/agent/place.go
@@ -33,6 +33,9 @@
 		return
 	}
 	d.shard.Redirect(r, a.ids.Ref(id))
+	if d.env.Intent == currantturn.IntentRoute || d.env.Intent == "" {
+		r.Set(flow.Placed)
+	}
 	r.Seen = flow.StampOf(d.now)
 	d.out.Event(event.FlowRedirected, event.F("flow", d.env.Packet.Flow), event.F("service", a.opts.Service),
 		event.F("backend", id))
--- a/internal/coordination/agent/route.go
+++ b/internal/coordination/agent/route.go
@@ -78,7 +78,7 @@
 		a.deliver(d)
 		return true
 	}
-	if m, ok := a.members.Get(owner.ID); ok && m.DeadFor(d.now) < DeadGrace {
+	if !a.members.Lost(d.now, owner.ID) {
 		a.forward(d, owner.ID, currantturn.IntentHeld)
 		return true
 	}
@@ -116,20 +116,19 @@
 	}
 }
 
-// outdated says whether a redirect contradicts the agent that sent the packet:
-// the redirect points back to it, or it placed the flow here after it had been
-// fenced off. Many hops of an opening packet show a cycle of redirects.
+// outdated says whether a redirect contradicts the agent that sent the packet.
+// A placement counts when this agent was fenced off before, or placed the flow
+// itself and gets it back from agents that leave; a second copy of a placement
+// that this agent passed on does not. A redirect to the very sender is wrong.
 func (a *Agent) outdated(d *arrival, r *flow.Record) bool {
-	if d.env.Intent == currantturn.IntentRoute || d.env.Intent == "" {
+	switch d.env.Intent {
+	case currantturn.IntentPlace:
+		return r.Has(flow.Fenced) || r.Has(flow.Placed)
+	case currantturn.IntentHeld:
+		return d.from.IsValid() && d.plan.byAgent[d.from] == a.ids.ID(r.Holder)
+	default:
 		return false
 	}
-	if d.from.IsValid() && d.plan.byAgent[d.from] == a.ids.ID(r.Holder) {
-		return true
-	}
-	if d.env.Intent == currantturn.IntentPlace && r.Has(flow.Fenced) {
-		return true
-	}
-	return d.env.Packet.Mark == currantturn.MarkOpening && d.env.Hops >= cycleHops
 }
 
 // atHolder delivers a packet of a flow that is held here.
@@ -178,10 +177,9 @@
 // atRedirect sends a packet to the recorded holder.
 func (a *Agent) atRedirect(d *arrival, r *flow.Record) {
 	holder := a.ids.ID(r.Holder)
-	m, configured := a.members.Get(holder)
 	opening := d.env.Packet.Mark == currantturn.MarkOpening
 	_, known := d.plan.address(holder)
-	lost := !known || (configured && m.DeadFor(d.now) >= DeadGrace)
+	lost := !known || a.members.Lost(d.now, holder)
 	switch {
 	case holder == a.opts.ID, holder == "", lost:
 		// Nobody holds the flow any more; data packets are reset here.
--- a/internal/coordination/membership/constants.go
+++ b/internal/coordination/membership/constants.go
@@ -12,6 +12,9 @@
 	SuspectAfter = 500 * time.Millisecond
 	// DeadAfter is how long a suspicion may stand unrefuted.
 	DeadAfter = 1500 * time.Millisecond
+	// DeadGrace is how long packets still go to a member that was declared dead,
+	// because it may only be paused.
+	DeadGrace = 3 * time.Second
 	// PauseGap is the time between two ticks that counts as a pause.
 	PauseGap = 500 * time.Millisecond
 	// StaleFor is how long knowledge counts as stale after a pause or a start.
@@ -19,6 +22,7 @@
 	// RampTime is how long a started backend server takes to reach its share.
 	RampTime = 30 * time.Second
 
+	partedShare     = 4  // a partition is likely when more than 1/partedShare are dead
 	indirectProbes  = 3  // peers asked to probe a silent one
 	maxUpdates      = 6  // updates in one message
 	maxQueued       = 64 // updates that wait for messages
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -46,14 +46,6 @@
 	return m.State == Dead || m.Leaving
 }
 
-// DeadFor is how long the member has been dead, or zero.
-func (m *Member) DeadFor(now time.Time) time.Duration {
-	if m.State != Dead {
-		return 0
-	}
-	return max(now.Sub(m.changed), 1)
-}
-
 // Capacity is the share of new work that the member can take at the given time.
 func (m *Member) Capacity(now time.Time) float64 {
 	c := float64(max(m.Server.Slots, 1) * max(m.Server.Weight, 1))
@@ -97,6 +89,7 @@
 	lastTick  time.Time
 	stale     time.Time // until when knowledge counts as stale
 	epoch     uint64
+	parted    bool
 	restarted []currantturn.BackendID
 	counters  Counters
 }
@@ -170,6 +163,7 @@
 // refresh derives what depends on several sources and starts a new epoch.
 func (l *List) refresh(now time.Time) {
 	l.epoch++
+	dead := 0
 	for _, m := range l.members {
 		if m.Server.ID == l.opts.ID {
 			m.known, m.State, m.Load, m.heard = l.self, Alive, l.load, now
@@ -180,7 +174,11 @@
 		if m.Server.ID == l.opts.ID && l.toldAt > l.version {
 			m.Leaving = true
 		}
+		if m.State == Dead {
+			dead++
+		}
 	}
+	l.parted = dead > 1 && dead*partedShare > len(l.members)
 }
 
 // Listed takes from the VM list whether a member leaves.
@@ -255,6 +253,23 @@
 	return *m, true
 }
 
+// Lost says whether a member has been dead for so long that its flows are gone.
+// When many members die at once, a partition is likelier than their deaths, and
+// none of them counts as lost.
+func (l *List) Lost(now time.Time, id currantturn.BackendID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.byID[id]
+	return m != nil && m.State == Dead && now.Sub(m.changed) >= DeadGrace && !l.parted
+}
+
+// Parted says whether so many members are dead that a partition is likely.
+func (l *List) Parted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.parted
+}
+
 // Leaving says whether this process takes no new work.
 func (l *List) Leaving() bool {
 	m, ok := l.Get(l.opts.ID)
