--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -25,10 +25,10 @@
 
 // Counters counts the reads of a Client.
 type Counters struct {
-	Reads        uint64 `json:"reads"`
-	ReadsFailed  uint64 `json:"reads_failed"`
-	ReadsDelayed uint64 `json:"reads_delayed"` // by the read budget
-	ReadBytes    uint64 `json:"read_bytes"`
+	Reads        uint64 `json:"reads"`         // reads of the platform
+	ReadsFailed  uint64 `json:"reads_failed"`  // reads that failed
+	ReadsDelayed uint64 `json:"reads_delayed"` // reads that waited for the read budget
+	ReadBytes    uint64 `json:"read_bytes"`    // bytes read
 }
 
 // Client reads the platform's service; it implements currantturn.Platform.
