--- a/cmd/currantturn/hooks.go
+++ b/cmd/currantturn/hooks.go
@@ -7,13 +7,19 @@
 	"strings"
 
 	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/process"
 	"github.com/currantturn/currantturn/internal/try"
 	"github.com/rotisserie/eris"
 )
 
 // hooks connects the command line to what the commands do.
 func hooks() command.Hooks {
-	return command.Hooks{Try: runTry, CheckPatch: checkPatch}
+	return command.Hooks{
+		Balancer:   process.RunBalancer,
+		Agent:      process.RunAgent,
+		Try:        runTry,
+		CheckPatch: checkPatch,
+	}
 }
 
 func runTry(ctx context.Context, o command.TryOptions, out, progress io.Writer) error {
--- a/internal/try/changes.go
+++ b/internal/try/changes.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/pkg/patch"
 )
 
 // change is one planned change and when it happens, as a fraction of the run.
@@ -56,9 +56,9 @@
 
 func (r *run) drain() error {
 	h := r.drained()
-	r.site.setState(h.id, currantturn.BackendDraining)
+	err := r.site.platform.publish(patch.Drain{Service: h.service, ID: h.id})
 	time.AfterFunc(leavingBound, func() { r.servedAtBound.Store(h.backend.Served()) })
-	return nil
+	return err
 }
 
 func (r *run) undrain() error {
@@ -66,18 +66,10 @@
 	if at := r.servedAtBound.Load(); at > 0 {
 		r.lateWork.Store(h.backend.Served() - at)
 	}
-	r.site.setState(h.id, currantturn.BackendActive)
-	return nil
+	return r.site.platform.publish(patch.Undrain{Service: h.service, ID: h.id})
 }
 
 func (r *run) patchWeight() error {
 	last := r.site.hosts[len(r.site.hosts)-1]
-	r.site.publish(func(services []currantturn.Service) {
-		for i := range services {
-			if b := services[i].Backend(last.id); b != nil {
-				b.Weight++
-			}
-		}
-	})
-	return nil
+	return r.site.platform.publish(patch.SetWeight{Service: last.service, ID: last.id, Weight: last.slots + 1})
 }
--- a/internal/try/constants.go
+++ b/internal/try/constants.go
@@ -24,6 +24,7 @@
 	coldFor           = time.Second           // of the stand-ins, which start warm
 	clockSkew         = 20 * time.Millisecond // one clock serves all processes
 	warmUp            = time.Second
+	settleBound       = 20 * time.Second
 	claimRetention    = 15 * time.Minute
 	claimStoreBytes   = 16 << 20
 	inForceBound      = 4 * time.Second
--- a/internal/try/report.go
+++ b/internal/try/report.go
@@ -41,6 +41,7 @@
 	P50Millis     float64           `json:"p50_ms"`
 	P99Millis     float64           `json:"p99_ms"`
 	InForceMillis float64           `json:"in_force_max_ms"`
+	Reads         int               `json:"platform_reads"`
 	Violations    map[string]int    `json:"violated_invariants"`
 	Spreads       []Spread          `json:"spreads"`
 	FirstSeen     map[string]string `json:"first_seen"`
@@ -92,6 +93,8 @@
 		Violations:   r.site.violations(),
 	}
 	out.RunTwice, out.FalseNotRun = r.countRuns()
+	out.InForceMillis = millis(r.site.platform.slowest().Microseconds())
+	out.Reads = r.site.platform.service.Counts().Total()
 	out.Spreads = r.spreads()
 	return out
 }
@@ -182,6 +185,7 @@
 	row("work after drain bound", "%d", r.LateWork)
 	row("p50 / p99", "%.1f ms / %.1f ms", r.P50Millis, r.P99Millis)
 	row("time to in force (max)", "%.0f ms", r.InForceMillis)
+	row("platform reads", "%d", r.Reads)
 	for _, s := range r.Spreads {
 		row("imbalance of "+string(s.Service), "%.2f max over mean, %.2f variation", s.MaxOverMean, s.Variation)
 	}
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -48,6 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.platform.settle(ctx, s.processes()); err != nil {
+		return nil, errors.Join(err, s.close(ctx))
+	}
 	time.Sleep(warmUp)
 	r := &run{opts: opts, site: s, tally: newTally()}
 	err = r.drive(ctx)
@@ -80,7 +84,7 @@
 	every := time.Duration(float64(n) / rate * float64(time.Second))
 	for i := range n + p.Watches {
 		name := fmt.Sprintf("%s-caller-%d", p.Name, i+1)
-		c, err := newCaller(name, r.site.address(p.Name), r.tally, r.opts.Seed<<16+uint64(len(r.callers)))
+		c, err := newCaller(name, r.site.addresses[p.Name], r.tally, r.opts.Seed<<16+uint64(len(r.callers)))
 		if err != nil {
 			return err
 		}
--- a/internal/try/site.go
+++ b/internal/try/site.go
@@ -40,9 +40,9 @@
 	secrets   core.Secrets
 	ring      seal.Ring
 	broken    map[string]int // invariants that a process reported as broken
+	platform  *published
 	mu        sync.Mutex
-	services  []currantturn.Service
-	version   currantturn.Version
+	addresses map[currantturn.ServiceName]netip.AddrPort
 	balancers []*door
 	hosts     []*host
 	started   int // balancers started so far
@@ -51,6 +51,7 @@
 // door is a balancer and the address at which the fabric reaches it.
 type door struct {
 	name     string
+	domain   currantturn.FailureDomain
 	entry    netip.AddrPort
 	balancer *core.Balancer
 }
@@ -86,28 +87,34 @@
 		return nil, err
 	}
 	s := &site{
-		plan:    plan,
-		fabric:  f,
-		tls:     cfg,
-		ca:      ca,
-		dir:     dir,
-		secrets: secrets,
-		ring:    seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{byte(seed), 1}}}},
-		broken:  make(map[string]int),
+		plan:      plan,
+		fabric:    f,
+		tls:       cfg,
+		ca:        ca,
+		dir:       dir,
+		addresses: make(map[currantturn.ServiceName]netip.AddrPort),
+		secrets:   secrets,
+		ring:      seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{byte(seed), 1}}}},
+		broken:    make(map[string]int),
 	}
+	if s.platform, err = startPublished(); err != nil {
+		return nil, err
+	}
+	var first []patch.Operation
 	for _, p := range plan.Services {
-		if err := s.startService(p); err != nil {
+		op, err := s.startService(p)
+		if err != nil {
 			return nil, err
 		}
+		first = append(first, op)
 	}
 	for range plan.Balancers {
 		if _, err := s.startBalancer(); err != nil {
 			return nil, err
 		}
 	}
-	s.publish(func([]currantturn.Service) {})
 	s.spray()
-	return s, nil
+	return s, s.platform.publish(first...)
 }
 
 // sealer returns the sealer of one process; each has a sender of its own.
@@ -156,19 +163,20 @@
 	return maps.Clone(s.broken)
 }
 
-func (s *site) startService(p ServicePlan) error {
+func (s *site) startService(p ServicePlan) (patch.Operation, error) {
 	address, err := s.fabric.AddService()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	service := currantturn.Service{Name: p.Name, Addresses: []netip.AddrPort{address}, Limits: patch.DefaultLimits}
+	s.addresses[p.Name] = address
+	op := patch.AddService{Service: p.Name, Addresses: []netip.AddrPort{address}}
 	for i := range p.Backends {
 		h, err := s.startHost(p, i)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		s.hosts = append(s.hosts, h)
-		service.Backends = append(service.Backends, currantturn.BackendServer{
+		op.BackendServers = append(op.BackendServers, currantturn.BackendServer{
 			ID:            h.id,
 			FailureDomain: s.domain(i),
 			Agent:         h.agent.Link(),
@@ -178,8 +186,7 @@
 			State:         currantturn.BackendActive,
 		})
 	}
-	s.services = append(s.services, service)
-	return nil
+	return op, nil
 }
 
 func (s *site) domain(i int) currantturn.FailureDomain {
@@ -218,6 +225,7 @@
 		Secrets:   s.secrets,
 		Seed:      rank.Seed(id),
 		Assert:    true,
+		Feed:      s.platform.feed(),
 		Clock:     time.Now,
 		Report:    s.report,
 	})
@@ -246,43 +254,34 @@
 		Sealer:  sealer,
 		Secrets: s.secrets,
 		Seed:    uint64(s.started),
+		Feed:    s.platform.feed(),
 		Clock:   time.Now,
 		Report:  s.report,
 	})
 	if err != nil {
 		return nil, err
 	}
-	d := &door{name: name, entry: e.Addr(), balancer: b}
+	d := &door{name: name, domain: s.domain(s.started - 1), entry: e.Addr(), balancer: b}
 	s.balancers = append(s.balancers, d)
 	return d, nil
 }
 
-// spray tells the fabric which balancers there are.
+// spray tells the fabric and the list of VMs which balancers there are.
 func (s *site) spray() {
 	entries := make([]netip.AddrPort, 0, len(s.balancers))
+	vms := make([]currantturn.VM, 0, len(s.balancers))
 	for _, d := range s.balancers {
 		entries = append(entries, d.entry)
+		vms = append(vms, currantturn.VM{
+			Name:          currantturn.VMName(d.name),
+			Role:          currantturn.RoleBalancer,
+			FailureDomain: d.domain,
+			Link:          d.balancer.Link(),
+			State:         currantturn.VMLive,
+		})
 	}
 	s.fabric.SetBalancers(entries)
-}
-
-// publish puts a changed copy of the configuration in force everywhere.
-func (s *site) publish(change func([]currantturn.Service)) {
-	next := make([]currantturn.Service, len(s.services))
-	for i, old := range s.services {
-		next[i] = old
-		next[i].Backends = append([]currantturn.BackendServer(nil), old.Backends...)
-	}
-	change(next)
-	s.services = next
-	s.version++
-	v := currantturn.NewView(s.version, next)
-	for _, h := range s.hosts {
-		h.agent.Configure(v)
-	}
-	for _, d := range s.balancers {
-		d.balancer.Configure(v)
-	}
+	s.platform.service.SetVMs(vms)
 }
 
 // replaceBalancer stops the oldest balancer as planned and starts another.
@@ -290,7 +289,6 @@
 	if _, err := s.startBalancer(); err != nil {
 		return err
 	}
-	s.publish(func([]currantturn.Service) {})
 	old := s.balancers[0]
 	s.balancers = s.balancers[1:]
 	s.spray()
@@ -298,26 +296,6 @@
 	return old.balancer.Close()
 }
 
-// setState changes the state of one backend server by a patch.
-func (s *site) setState(id currantturn.BackendID, state currantturn.BackendState) {
-	s.publish(func(services []currantturn.Service) {
-		for i := range services {
-			if b := services[i].Backend(id); b != nil {
-				b.State = state
-			}
-		}
-	})
-}
-
-func (s *site) address(name currantturn.ServiceName) netip.AddrPort {
-	for _, service := range s.services {
-		if service.Name == name {
-			return service.Addresses[0]
-		}
-	}
-	return netip.AddrPort{}
-}
-
 // close stops every agent as planned, all at once, and then the rest.
 func (s *site) close(ctx context.Context) error {
 	var stops errgroup.Group
@@ -332,6 +310,12 @@
 		_ = d.balancer.Close()
 	}
 	_ = s.fabric.Close()
+	s.platform.close()
 	_ = os.RemoveAll(s.dir)
 	return err
 }
+
+// processes is how many processes are running.
+func (s *site) processes() int {
+	return len(s.hosts) + len(s.balancers)
+}
