--- a/cmd/currantturn/patch_test.go
+++ b/cmd/currantturn/patch_test.go
@@ -5,13 +5,16 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/command"
+	standin "github.com/currantturn/currantturn/internal/standin/platform"
 	"github.com/currantturn/currantturn/internal/suite"
 	"github.com/currantturn/currantturn/pkg/patch"
 	. "github.com/onsi/ginkgo/v2"
@@ -46,22 +49,26 @@
 }
 
 var _ = Describe("patch check", func() {
-	// check judges a drain of verify-1 against a version of a log.
-	check := func(log string, against int) (code int, text string) {
+	// checkSource judges a drain of verify-1 against a version of a log.
+	checkSource := func(source string, against int) (code int, text string) {
 		GinkgoHelper()
-		dir := GinkgoT().TempDir()
-		logFile, patchFile := filepath.Join(dir, "log"), filepath.Join(dir, "patch.json")
-		Expect(os.WriteFile(logFile, []byte(log), 0o600)).To(Succeed())
+		patchFile := filepath.Join(GinkgoT().TempDir(), "patch.json")
 		drain := published(1, patch.Drain{Service: "verify", ID: "verify-1"})
 		Expect(os.WriteFile(patchFile, drain, 0o600)).To(Succeed())
 		var out bytes.Buffer
 		p := command.New(hooks())
 		p.Out, p.Err = &out, &out
 		code = p.Run(context.Background(), []string{
-			"currantturn", "patch", "check", patchFile, "--against", fmt.Sprint(against), "--log", logFile,
+			"currantturn", "patch", "check", patchFile, "--against", fmt.Sprint(against), "--log", source,
 		})
 		return code, out.String()
 	}
+	check := func(log string, against int) (code int, text string) {
+		GinkgoHelper()
+		logFile := filepath.Join(GinkgoT().TempDir(), "log")
+		Expect(os.WriteFile(logFile, []byte(log), 0o600)).To(Succeed())
+		return checkSource(logFile, against)
+	}
 	add := func() string { return string(published(0, addVerify())) }
 	encoded := func() string { return `"` + base64.StdEncoding.EncodeToString([]byte(add())) + `"` }
 
@@ -92,12 +99,32 @@
 		Expect(text).To(HaveSuffix("note: the log has reached version 2, which a patch must build on now\n"))
 	})
 
+	It("reads the log of a platform, with and without a snapshot", func() {
+		service := standin.New(time.Now)
+		server := httptest.NewServer(service)
+		DeferCleanup(server.Close)
+		_, err := service.Publish("asha", published(0, addVerify()))
+		Expect(err).NotTo(HaveOccurred())
+		for range 2 {
+			code, text := checkSource(server.URL, 1)
+			Expect(code).To(Equal(command.ExitOK), text)
+			Expect(service.PublishSnapshot()).To(Succeed())
+		}
+		code, text := checkSource(server.URL, 0)
+		Expect(code).To(Equal(command.ExitBadInput))
+		Expect(text).To(ContainSubstring("the log holds versions 1 to 1, not 0"))
+		service.SetDown(true)
+		code, text = checkSource(server.URL, 1)
+		Expect(code).To(Equal(command.ExitFailure))
+		Expect(text).To(ContainSubstring("unavailable"))
+	})
+
 	DescribeTable("refuses a log that it cannot use", func(log string, against int, text string) {
 		code, got := check(log, against)
 		Expect(code).To(Equal(command.ExitBadInput))
 		Expect(got).To(ContainSubstring(text))
 	},
-		Entry("too short", "", 1, "ends at version 0, before version 1"),
+		Entry("too short", "", 1, "the log holds versions 0 to 0, not 1"),
 		Entry("not JSON", "position 1", 1, "invalid character"),
 		Entry("cut", `[{"position":1`, 1, "unexpected EOF"),
 		Entry("with a gap", record(2, "{}"), 1, "position 2 after 0"),
