--- /dev/null
+++ b/cmd/currantturn/fleet_test.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/standin/authority"
+	"github.com/currantturn/currantturn/internal/standin/backend"
+	"github.com/currantturn/currantturn/internal/standin/fabric"
+	standin "github.com/currantturn/currantturn/internal/standin/platform"
+	"github.com/currantturn/currantturn/internal/transport/identity"
+	"github.com/currantturn/currantturn/pkg/patch"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// patient bounds waits for states that come much sooner on an idle machine.
+const patient = 60 * time.Second
+
+var settingsTemplate = template.Must(template.New("settings").Parse(`[process]
+role = {{.Role}}
+name = {{.Name}}
+failure_domain = {{.Domain}}
+shutdown_grace = 1m
+[platform]
+urls = {{.Platform}}
+[link]
+address = {{.Link}}
+[log]
+format = json
+level = info
+[trust]
+ca_file = {{.Files.Authorities}}
+certificate_file = {{.Files.Certificate}}
+key_file = {{.Files.Key}}
+datagram_key_file = {{.Ring}}
+hash_key_file = {{.Hash}}
+[admin]
+address = {{.Admin}}
+insecure = true
+{{if eq .Role "balancer"}}[entry]
+kind = proxy
+addresses = {{.Entry}}
+fabric_answer_address = {{.Fabric}}
+{{else}}[flows]
+check_invariants = true
+[backend]
+service = verify
+address = {{.Backend}}
+stream_address = {{.Stream}}
+health_url = http://{{.Backend}}/health
+caller_certificate_file = {{.Files.Certificate}}
+caller_key_file = {{.Files.Key}}
+{{end}}`))
+
+// member is one process of the fleet under test.
+type member struct {
+	Role, Name, Domain, Platform, Ring, Hash    string
+	Link, Admin, Entry, Fabric, Backend, Stream netip.AddrPort
+	Files                                       identity.Files
+	cmd                                         *exec.Cmd
+	done                                        chan struct{}
+	mu                                          sync.Mutex
+	log                                         bytes.Buffer
+	settings                                    string
+}
+
+func (m *member) Write(p []byte) (int, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.log.Write(p)
+}
+
+func (m *member) output() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.log.String()
+}
+
+// start runs the process and waits until it serves.
+func (m *member) start(binary string) {
+	m.cmd = exec.Command(binary, m.Role, "--settings", m.settings)
+	m.cmd.Stderr = m
+	m.done = make(chan struct{})
+	Expect(m.cmd.Start()).To(Succeed())
+	go func() {
+		_ = m.cmd.Wait()
+		close(m.done)
+	}()
+}
+
+func (m *member) signal(s syscall.Signal) {
+	Expect(m.cmd.Process.Signal(s)).To(Succeed())
+}
+
+func (m *member) kill() {
+	_ = m.cmd.Process.Kill()
+	<-m.done
+}
+
+// freePort reserves nothing; the tests run in a network of their own ports.
+func freePort(network string) netip.AddrPort {
+	if network == "tcp" {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		return ln.Addr().(*net.TCPAddr).AddrPort()
+	}
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// fleet is three balancers and three agents as processes of the built binary.
+type fleet struct {
+	dir, binary string
+	ca          *authority.Authority
+	fabric      *fabric.Fabric
+	service     *standin.Service
+	platform    *httptest.Server
+	address     netip.AddrPort
+	balancers   []*member
+	agents      []*member
+	backends    []*backend.Backend
+	client      *http.Client
+}
+
+func startFleet() *fleet {
+	f := &fleet{dir: GinkgoT().TempDir()}
+	f.binary = filepath.Join(f.dir, "currantturn")
+	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	f.ca, err = authority.New(time.Now())
+	Expect(err).NotTo(HaveOccurred())
+	f.fabric, err = fabric.New(fabric.Options{Seed: 1, Delay: time.Millisecond})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.fabric.Close)
+	f.address, err = f.fabric.AddService()
+	Expect(err).NotTo(HaveOccurred())
+	f.service = standin.New(time.Now)
+	f.platform = httptest.NewServer(f.service)
+	DeferCleanup(f.platform.Close)
+	f.write("ring.ini", "[keys]\nactive = 1\n1 = "+strings.Repeat("ab", 32)+"\n")
+	f.write("hash.key", hex.EncodeToString(make([]byte, 32)))
+	for i := range 3 {
+		f.balancers = append(f.balancers, f.balancer(i))
+		f.agents = append(f.agents, f.agent(i))
+	}
+	f.publishService()
+	f.spray(f.balancers...)
+	for _, m := range append(f.balancers, f.agents...) {
+		m.start(f.binary)
+		DeferCleanup(m.kill)
+	}
+	for _, m := range append(f.balancers, f.agents...) {
+		Eventually(m.output, patient).Should(ContainSubstring("process_ready"))
+	}
+	h3 := &http3.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+	DeferCleanup(h3.Close)
+	f.client = &http.Client{Transport: h3}
+	return f
+}
+
+func (f *fleet) write(name, content string) string {
+	path := filepath.Join(f.dir, name)
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return path
+}
+
+func (f *fleet) member(role currantturn.Role, name string, i int) *member {
+	dir := filepath.Join(f.dir, name)
+	Expect(os.Mkdir(dir, 0o700)).To(Succeed())
+	files, err := f.ca.Write(time.Now(), dir, identity.Peer{Role: role, Name: name})
+	Expect(err).NotTo(HaveOccurred())
+	return &member{
+		Role: string(role), Name: name, Domain: fmt.Sprintf("domain-%d", i), Platform: f.platform.URL,
+		Ring: filepath.Join(f.dir, "ring.ini"), Hash: filepath.Join(f.dir, "hash.key"), Files: files,
+		Link: freePort("udp"), Admin: freePort("tcp"),
+	}
+}
+
+func (f *fleet) configure(m *member) *member {
+	var b strings.Builder
+	Expect(settingsTemplate.Execute(&b, m)).To(Succeed())
+	m.settings = f.write(m.Name+".ini", b.String())
+	return m
+}
+
+func (f *fleet) balancer(i int) *member {
+	m := f.member(currantturn.RoleBalancer, fmt.Sprintf("entry-%d", i), i)
+	m.Entry, m.Fabric = freePort("udp"), f.fabric.Addr()
+	return f.configure(m)
+}
+
+func (f *fleet) agent(i int) *member {
+	m := f.member(currantturn.RoleAgent, fmt.Sprintf("verify-%d", i), i)
+	b, err := backend.Start(backend.Options{Name: m.Name, Slots: 3, Work: 5 * time.Millisecond})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(b.Close)
+	f.backends = append(f.backends, b)
+	m.Backend, m.Stream = b.Addr(), freePort("udp")
+	return f.configure(m)
+}
+
+func (f *fleet) publishService() {
+	op := patch.AddService{Service: "verify", Addresses: []netip.AddrPort{f.address}}
+	for i, m := range f.agents {
+		op.BackendServers = append(op.BackendServers, currantturn.BackendServer{
+			ID: currantturn.BackendID(m.Name), FailureDomain: currantturn.FailureDomain(m.Domain),
+			Agent: m.Link, Stream: m.Stream, Slots: 3, Weight: 1 + i%1, State: currantturn.BackendActive,
+		})
+	}
+	f.publish(0, op)
+}
+
+func (f *fleet) publish(on currantturn.Version, ops ...patch.Operation) patch.Verdict {
+	p, err := patch.Encode(&patch.Patch{BuildsOn: on, Operations: ops})
+	Expect(err).NotTo(HaveOccurred())
+	v, err := f.service.Publish("operator", p)
+	Expect(err).NotTo(HaveOccurred())
+	return v
+}
+
+func (f *fleet) spray(live ...*member) {
+	var entries []netip.AddrPort
+	var vms []currantturn.VM
+	for _, m := range live {
+		entries = append(entries, m.Entry)
+		vms = append(vms, currantturn.VM{
+			Name: currantturn.VMName(m.Name), Role: currantturn.RoleBalancer,
+			FailureDomain: currantturn.FailureDomain(m.Domain), Link: m.Link, State: currantturn.VMLive,
+		})
+	}
+	f.fabric.SetBalancers(entries)
+	f.service.SetVMs(vms)
+}
+
+// watch opens a numbered stream; next reads one line of it.
+func (f *fleet) watch() (next func() string, holder string) {
+	r, err := http.NewRequest(http.MethodGet, "https://"+f.address.String()+"/watch?every=20ms", nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Accept", "text/event-stream")
+	res, err := f.client.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.StatusCode).To(Equal(http.StatusOK))
+	DeferCleanup(res.Body.Close)
+	lines := bufio.NewScanner(res.Body)
+	return func() string {
+		if !lines.Scan() {
+			return fmt.Sprint("ended: ", lines.Err())
+		}
+		return lines.Text()
+	}, res.Header.Get("Backend-Server")
+}
+
+// check sends one request with a key and returns its outcome and body.
+func (f *fleet) check(key string) (status int, outcome, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patient)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+f.address.String()+"/check", http.NoBody)
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Idempotency-Key", key)
+	r.Header.Set("Request-Timeout", "20")
+	res, err := f.client.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer res.Body.Close()
+	p, err := io.ReadAll(res.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return res.StatusCode, res.Header.Get("Request-Outcome"), string(p)
+}
+
+// runs is how often the backend servers ran a key.
+func (f *fleet) runs(key string) int {
+	n := 0
+	for _, b := range f.backends {
+		n += b.Runs()[key]
+	}
+	return n
+}
