Measure admission under overload, and refuse new keys of a silent or stopping owner

An attempt whose owner is known to be silent asks nobody and is told not_accepted at once: the caller may take a new key, whose owner is another. Before, every new key of a restarting owner ended as outcome_unknown after 2 s. A stopping owner refuses new keys for good.

--- /dev/null
+++ b/internal/coordination/admission/admission_test.go
@@ -0,0 +1,194 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/admission"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestAdmission(t *testing.T) { suite.Run(t, "admission") }
+
+func view(queue int, states ...currantturn.BackendState) *currantturn.View {
+	s := currantturn.Service{Name: "proofdesk", Limits: currantturn.Limits{QueuePerBackend: queue}}
+	for i, state := range states {
+		s.Backends = append(s.Backends, currantturn.BackendServer{
+			ID: currantturn.BackendID(fmt.Sprint("p-", i)), Slots: 3, State: state,
+			Stream: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(2000+i)),
+		})
+	}
+	return currantturn.NewView(1, []currantturn.Service{s})
+}
+
+func newGate(v *currantturn.View) *admission.Gate {
+	g := admission.New(admission.Options{
+		ID: "p-0", Service: "proofdesk", Started: epoch, Watches: 2, Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	g.Configure(epoch, v, &currantturn.Effects{})
+	return g
+}
+
+// Random requests against one gate: never more than its slots run, its queue
+// is bounded, every queued request hears once, and nothing is admitted late.
+func TestGateInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := rapid.IntRange(1, 5).Draw(t, "queue")
+		g := newGate(view(queue, currantturn.BackendActive))
+		now := epoch
+		var held []*admission.Ticket
+		waiting := map[*admission.Ticket]time.Time{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "step")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "enter") {
+				var ticket *admission.Ticket
+				deadline := now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "patience")) * time.Millisecond)
+				ticket, d, _ := g.Enter(now, deadline, func(d admission.Decision) {
+					if _, ok := waiting[ticket]; !ok {
+						t.Fatal("heard twice")
+					}
+					delete(waiting, ticket)
+					if d == admission.Admit {
+						held = append(held, ticket)
+						if !now.Before(deadline) {
+							t.Fatal("admitted past its deadline")
+						}
+					}
+				})
+				switch d {
+				case admission.Admit:
+					held = append(held, ticket)
+				case admission.Queue:
+					waiting[ticket] = deadline
+				}
+			} else if len(held) > 0 {
+				ticket := held[0]
+				held = held[1:]
+				g.Leave(now, ticket, true)
+			}
+			g.Tick(now, nil)
+			for _, deadline := range waiting {
+				if !now.Before(deadline) {
+					t.Fatal("waits past its deadline")
+				}
+			}
+			l := g.Load(now)
+			if len(held) > 3 || l.Running != len(held) || l.Queued != len(waiting) || l.Queued > queue {
+				t.Fatalf("%+v with %d held, %d waiting", l, len(held), len(waiting))
+			}
+		}
+	})
+}
+
+var _ = Describe("gate", func() {
+	never := func(admission.Decision) { Fail("not queued") }
+	active, draining := currantturn.BackendActive, currantturn.BackendDraining
+
+	It("queues only what can be answered in time, and names the wait", func() {
+		g := newGate(view(50, active))
+		now := epoch
+		for range 20 { // learns that a request takes 100 ms
+			t, _, _ := g.Enter(now, now.Add(time.Hour), never)
+			now = now.Add(100 * time.Millisecond)
+			g.Leave(now, t, true)
+		}
+		for range 3 {
+			_, d, _ := g.Enter(now, now.Add(time.Hour), never)
+			Expect(d).To(Equal(admission.Admit))
+		}
+		_, d, after := g.Enter(now, now.Add(120*time.Millisecond), never)
+		Expect(d).To(Equal(admission.Shed))
+		Expect(after).To(BeNumerically("~", 33*time.Millisecond, 5*time.Millisecond))
+		_, d, _ = g.Enter(now, now.Add(200*time.Millisecond), func(admission.Decision) {})
+		Expect(d).To(Equal(admission.Queue))
+		_, d, _ = g.Enter(now, now, never)
+		Expect(d).To(Equal(admission.Expire))
+	})
+
+	It("ramps a cold backend server up", func() {
+		g := admission.New(admission.Options{Slots: 10, Started: epoch, ColdFor: 10 * time.Second})
+		for _, c := range []struct{ at, slots int }{{0, 1}, {3, 3}, {9, 9}, {11, 10}} {
+			Expect(g.Load(epoch.Add(time.Duration(c.at) * time.Second)).Slots).To(Equal(c.slots))
+		}
+		g.Restarted(epoch.Add(time.Minute))
+		Expect(g.Load(epoch.Add(time.Minute)).Slots).To(Equal(1))
+	})
+
+	It("counts watches apart from the slots", func() {
+		g := newGate(view(1, active))
+		first, d := g.Watch()
+		Expect(d).To(Equal(admission.Admit))
+		_, _ = g.Watch()
+		_, d = g.Watch()
+		Expect(d).To(Equal(admission.Shed))
+		Expect(g.Load(epoch).Running).To(BeZero())
+		g.Leave(epoch, first, false)
+		_, d = g.Watch()
+		Expect(d).To(Equal(admission.Admit))
+	})
+
+	It("passes to the freer peer whose load is fresh, and counts what it passed", func() {
+		g := newGate(view(5, active, active, active, draining))
+		fill := func() {
+			for range 3 {
+				_, d, _ := g.Enter(epoch, epoch.Add(time.Hour), never)
+				Expect(d).To(Equal(admission.Admit))
+			}
+		}
+		g.PeerLoad(epoch, "p-1", currantturn.Load{Running: 1, Slots: 3})
+		_, ok := g.Spill(epoch, false)
+		Expect(ok).To(BeFalse(), "a free slot here goes first")
+		fill()
+		g.PeerLoad(epoch, "p-2", currantturn.Load{Running: 3, Slots: 3})
+		g.PeerLoad(epoch, "p-3", currantturn.Load{Slots: 3})
+		for range 2 {
+			p, ok := g.Spill(epoch, false)
+			Expect([]any{p.ID, ok}).To(Equal([]any{currantturn.BackendID("p-1"), true}))
+		}
+		_, ok = g.Spill(epoch, false)
+		Expect(ok).To(BeFalse(), "its two free slots are taken, the other is full or drains")
+		g.PeerLoad(epoch, "p-1", currantturn.Load{Slots: 3})
+		_, ok = g.Spill(epoch.Add(time.Minute), false)
+		Expect(ok).To(BeFalse(), "an old load is not believed")
+	})
+
+	It("runs nothing new while it drains", func() {
+		g := newGate(view(5, draining, active))
+		_, d, _ := g.Enter(epoch, epoch.Add(time.Hour), never)
+		Expect(d).To(Equal(admission.Shed))
+		_, d = g.Watch()
+		Expect(d).To(Equal(admission.Shed))
+		p, ok := g.Spill(epoch, true)
+		Expect([]any{p.ID, ok}).To(Equal([]any{currantturn.BackendID("p-1"), true}))
+	})
+})
+
+var _ = Describe("retry budget", func() {
+	It("pays a tenth of the successes and never waits past the deadline", func() {
+		b := admission.NewBudget(rand.New(rand.NewPCG(1, 1)))
+		granted := 0
+		for range 1000 {
+			b.Success()
+			for range 3 {
+				if _, ok := b.Retry(epoch, epoch.Add(time.Hour), 1, 0); ok {
+					granted++
+				}
+			}
+		}
+		Expect(granted).To(BeNumerically("<=", 110))
+		Expect(granted).To(BeNumerically(">=", 100))
+		b = admission.NewBudget(rand.New(rand.NewPCG(1, 1)))
+		_, ok := b.Retry(epoch, epoch.Add(time.Second), 1, time.Second)
+		Expect(ok).To(BeFalse())
+		d, ok := b.Retry(epoch, epoch.Add(time.Hour), 9, time.Second)
+		Expect(ok).To(BeTrue())
+		Expect(d).To(BeNumerically(">=", 2*time.Second))
+	})
+})
--- a/internal/coordination/claim/claims.go
+++ b/internal/coordination/claim/claims.go
@@ -61,9 +61,22 @@
 	}
 }
 
+// Stop refuses every new key for good; those with a record go on. It is the
+// first step of a planned stop.
+func (c *Claims) Stop() {
+	c.owner.stopped.Store(true)
+}
+
+// Suspect tells that the process at a link address should be asked nothing
+// new until the given time, because it is leaving or silent.
+func (c *Claims) Suspect(a netip.AddrPort, until time.Time) {
+	c.runner.silent.suspect(a, until)
+}
+
 // Handle takes a message from a peer.
 func (c *Claims) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
 	first := len(out.Sends)
+	c.runner.silent.hear(from)
 	c.dispatch(now, from, m, out)
 	c.loop(now, out, first)
 }
--- a/internal/coordination/claim/owner.go
+++ b/internal/coordination/claim/owner.go
@@ -54,6 +54,7 @@
 	opts    *Options
 	history *atomic.Pointer[history]
 	records *record.Store[*claimRecord]
+	stopped atomic.Bool
 	counts  ownerCounts
 }
 
@@ -92,6 +93,9 @@
 // open makes the record of a new key, or tells why there is none.
 func (o *owner) open(now time.Time, s *shard, h *history, m Begin, out *currantturn.Effects) *claimRecord {
 	prior := h.prior(o.hash(m.Key), o.opts.Self)
+	if o.stopped.Load() {
+		s.Refuse(m.Key)
+	}
 	state := o.refusal(now, s, m.Key, len(prior) > 0)
 	if state == "" {
 		r := &claimRecord{phase: asking, digest: m.Digest, version: h.version, question: ask(prior)}
--- a/internal/coordination/claim/runner.go
+++ b/internal/coordination/claim/runner.go
@@ -26,7 +26,7 @@
 	begin    Begin
 	deadline time.Time
 	decided  func(Verdict)
-	owner    netip.AddrPort // who granted
+	owner    netip.AddrPort // who was asked last, or has granted
 	heard    time.Time      // when the owner last answered
 	next     time.Time      // when to send again
 	delay    time.Duration
@@ -40,6 +40,7 @@
 	number     atomic.Uint64
 	size       atomic.Int64
 	unanswered atomic.Uint64
+	silent     silence
 	shards     [runnerShards]runnerShard
 }
 
@@ -78,8 +79,9 @@
 	}
 	id := Attempt{Runner: r.opts.Self, Incarnation: r.opts.Incarnation, Number: number}
 	a.begin = Begin{Key: k, Digest: d, Attempt: id, Close: closing}
-	if r.size.Load() >= maxAttempts {
-		decided(Verdict{Key: k, Attempt: id, State: Unknown})
+	to := r.history.Load().owner(r.opts.Key.Bytes(k[:]))
+	if !to.IsValid() || r.size.Load() >= maxAttempts || r.silent.suspected(to, now) {
+		decided(Verdict{Key: k, Attempt: id, State: Silent})
 		return number
 	}
 	s := r.shard(number)
@@ -98,8 +100,8 @@
 	a.begin.Version = h.version
 	a.next = now.Add(a.delay)
 	a.delay = min(2*a.delay, pollEvery)
-	if to := h.owner(r.opts.Key.Bytes(a.begin.Key[:])); to.IsValid() {
-		out.Send(to, a.begin)
+	if a.owner = h.owner(r.opts.Key.Bytes(a.begin.Key[:])); a.owner.IsValid() {
+		out.Send(a.owner, a.begin)
 	}
 }
 
@@ -272,6 +274,9 @@
 	case waiting:
 		if !now.Before(a.deadline) || now.Sub(a.heard) >= ownerSilence {
 			r.unanswered.Add(1)
+			if now.Sub(a.heard) >= ownerSilence {
+				r.silent.suspect(a.owner, now.Add(silentFor))
+			}
 			r.remove(s, number)
 			a.decided(Verdict{Key: a.begin.Key, Attempt: a.begin.Attempt, State: Unknown})
 			return
--- a/internal/protocol/request/outcome.go
+++ b/internal/protocol/request/outcome.go
@@ -20,6 +20,10 @@
 	NotRun Outcome = "not_run"
 	// PastDeadline says the same as NotRun, because the deadline passed first.
 	PastDeadline Outcome = "past_deadline"
+	// NotAccepted says that this attempt started nothing and that nothing is
+	// known of other attempts: a caller whose every attempt was told so may
+	// take a new key.
+	NotAccepted Outcome = "not_accepted"
 	// Unknown says that the request may or may not have run.
 	Unknown Outcome = "outcome_unknown"
 	// TooOld says that the key's record is past its retention.
@@ -33,6 +37,7 @@
 var statuses = map[Outcome]int{
 	AnswerNotKept: http.StatusConflict,
 	NotRun:        http.StatusServiceUnavailable,
+	NotAccepted:   http.StatusMisdirectedRequest,
 	PastDeadline:  http.StatusGatewayTimeout,
 	Unknown:       http.StatusBadGateway,
 	TooOld:        http.StatusGone,
--- a/internal/transport/request/exchange.go
+++ b/internal/transport/request/exchange.go
@@ -69,7 +69,7 @@
 // without a key is it certain that no other attempt has run it.
 func (x *exchange) refuse(reason string) {
 	if x.params.Claimed() {
-		x.tell(protocol.Unknown, reason, retryAfter)
+		x.tell(protocol.NotAccepted, reason, retryAfter)
 		return
 	}
 	x.tell(protocol.NotRun, reason, retryAfter)
@@ -157,6 +157,8 @@
 		x.replay(v.Answer)
 	case claim.NotRun:
 		x.tell(protocol.NotRun, "closed before it ran", retryAfter)
+	case claim.Silent:
+		x.refuse("the key's owner does not answer")
 	case claim.TooOld:
 		x.tell(protocol.TooOld, "key is past its retention", 0)
 	case claim.Reused:
