--- a/internal/coordination/membership/constants.go
+++ b/internal/coordination/membership/constants.go
@@ -31,4 +31,6 @@
 	updateRepeat    = 3  // times log2 of the members is how often an update is sent
 	incarnationBits = 10 // low bits that count refutations since the start
 	minimumRamp     = 0.1
+	// farewellFan bounds the members that a stopping process tells.
+	farewellFan = 32
 )
--- /dev/null
+++ b/internal/coordination/membership/farewell.go
@@ -0,0 +1,31 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/currantturn/currantturn"
+)
+
+// Farewell tells other members that this process has ended as planned, so
+// that they need not find out by its silence.
+func (l *List) Farewell(now time.Time, out *currantturn.Effects) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.start(now)
+	last := l.self
+	last.State = Dead
+	last.Leaving = true
+	last.Incarnation++
+	told := 0
+	for _, i := range l.rng.Perm(len(l.members)) {
+		m := l.members[i]
+		if m.Server.ID == l.opts.ID || m.Gone() {
+			continue
+		}
+		out.Send(m.Server.Agent, Ack{Version: l.version, From: last})
+		told++
+		if told == farewellFan {
+			return
+		}
+	}
+}
--- a/internal/core/agent.go
+++ b/internal/core/agent.go
@@ -90,6 +90,7 @@
 	n.add(a.claims, claim.Kinds...)
 	n.add(a.gate)
 	n.add((*bounds)(a))
+	n.add(&absent{members: a.machine.Members(), claims: a.claims})
 	if opts.Feed.Platform != nil {
 		a.feed = n.follow(opts.Feed, opts.Domain, opts.Seed, a.machine)
 	}
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -11,6 +11,9 @@
 const (
 	// handOverEvery paces the records that a stopping agent hands to peers.
 	handOverEvery = 20 * time.Millisecond
+	// lingerAfterFarewell is how long a stopped agent still refuses new request
+	// keys itself, until its peers ask it no more.
+	lingerAfterFarewell = 500 * time.Millisecond
 	// partBeforeStop is how long peers have to learn that the agent leaves
 	// before its servers refuse new connections.
 	partBeforeStop = time.Second
@@ -28,6 +31,7 @@
 // Shutdown stops as planned: new work goes to peers, requests in progress end,
 // records are handed over. The end of the context cuts what is left.
 func (a *Agent) Shutdown(ctx context.Context) error {
+	a.claims.Stop()
 	a.Leave(true)
 	pause(ctx, partBeforeStop)
 	var errs []error
@@ -37,6 +41,8 @@
 	errs = append(errs, a.peers.Shutdown(ctx))
 	errs = append(errs, a.handler.Settle(ctx))
 	a.handOver(ctx)
+	a.node.decide(a.machine.Members().Farewell)
+	pause(ctx, lingerAfterFarewell)
 	errs = append(errs, a.Close())
 	return errors.Join(errs...)
 }
