--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+.PHONY: capacity
+capacity:
+	go run ./internal/capacity/print docs/capacity/slopes.ini docs/CAPACITY.md
