Judge dry runs and patch checks by one function

Cause: the administration API, the process and the command line each turned a verdict into text, and the API kept only one reason of several. A dry run for a version that is not in force here is answered by 409 now, not by a rejection, because it says nothing about the patch.

--- a/cmd/currantturn/patch.go
+++ b/cmd/currantturn/patch.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 
+	"github.com/currantturn/currantturn/internal/admin"
 	"github.com/currantturn/currantturn/internal/command"
-	"github.com/currantturn/currantturn/pkg/patch"
 	"github.com/rotisserie/eris"
 )
 
@@ -18,13 +18,5 @@
 	if err != nil {
 		return nil, eris.Wrapf(command.ErrBadInput, "%s: %v", c.Log, err)
 	}
-	verdict, diff := patch.Check(base, c.Patch)
-	out := &command.PatchVerdict{Accepted: verdict.Outcome == patch.InForce, Version: verdict.Version, Head: head}
-	for _, r := range verdict.Reasons {
-		out.Reasons = append(out.Reasons, r.Error())
-	}
-	for _, change := range diff {
-		out.Changes = append(out.Changes, change.String())
-	}
-	return out, nil
+	return &command.PatchVerdict{DryRun: admin.Judge(base, c.Patch), Head: head}, nil
 }
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -102,7 +102,7 @@
 	}
 	verdict, err := p.DryRun(r.Context(), currantturn.Version(against), patch)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, "bad_patch", err)
+		refuse(w, http.StatusConflict, "not_in_force", err)
 		return
 	}
 	write(w, http.StatusOK, verdict)
--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -72,14 +72,6 @@
 	Flows   int                     `json:"flows"`
 }
 
-// DryRun is the verdict that a patch would get.
-type DryRun struct {
-	Accepted bool                `json:"accepted"`
-	Version  currantturn.Version `json:"version,omitempty"`
-	Reason   string              `json:"reason,omitempty"`
-	Changes  []string            `json:"changes,omitempty"`
-}
-
 // Providers read the state of the process; a nil one is answered by 501.
 type Providers struct {
 	Status   func() Status
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -95,12 +95,15 @@
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Serve answers until Shutdown.
+// Serve answers until Shutdown; it reports a failure as an event, too.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
+	if s.report != nil {
+		s.report(currantturn.Event{Number: event.AdminFailed, Fields: []currantturn.Field{event.F("error", err.Error())}})
+	}
 	return eris.Wrap(err, "administration API")
 }
 
--- a/internal/command/hooks.go
+++ b/internal/command/hooks.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/admin"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/settings"
 )
@@ -44,13 +45,10 @@
 	Log     string // file or URL of the published log
 }
 
-// PatchVerdict is the verdict on a patch.
+// PatchVerdict is the verdict on a patch and the version that the log ends at.
 type PatchVerdict struct {
-	Accepted bool                `json:"accepted"`
-	Version  currantturn.Version `json:"version"` // in force after the patch
-	Head     currantturn.Version `json:"head"`    // that the log ends at
-	Reasons  []string            `json:"reasons,omitempty"`
-	Changes  []string            `json:"changes,omitempty"`
+	admin.DryRun
+	Head currantturn.Version `json:"head"`
 }
 
 // Hooks are what the commands do.
--- a/internal/process/providers.go
+++ b/internal/process/providers.go
@@ -9,8 +9,6 @@
 	"github.com/currantturn/currantturn/internal/audit"
 	"github.com/currantturn/currantturn/internal/command"
 	"github.com/currantturn/currantturn/internal/state/configuration"
-	"github.com/currantturn/currantturn/pkg/patch"
-	"github.com/rotisserie/eris"
 )
 
 // source is a running balancer or agent, as the administration API reads it.
@@ -31,7 +29,7 @@
 		Flows:    s.Flows,
 		Audit:    x.trail.trail.Entries,
 		DryRun: func(_ context.Context, against currantturn.Version, p []byte) (admin.DryRun, error) {
-			return dryRun(s.Log().Current(), against, p)
+			return admin.JudgeAgainst(s.Log().Current(), against, p)
 		},
 		Metrics: x.metrics,
 	}
@@ -79,20 +77,3 @@
 	}
 	return out
 }
-
-// dryRun judges a patch against the configuration in force; only that one is
-// held here.
-func dryRun(current *patch.Configuration, against currantturn.Version, p []byte) (admin.DryRun, error) {
-	if against != current.Version {
-		return admin.DryRun{Reason: eris.Errorf("version %d is in force, not %d", current.Version, against).Error()}, nil
-	}
-	verdict, diff := patch.Check(current, p)
-	out := admin.DryRun{Accepted: verdict.Outcome == patch.InForce, Version: verdict.Version}
-	if err := verdict.Err(); err != nil {
-		out.Reason = err.Error()
-	}
-	for _, c := range diff {
-		out.Changes = append(out.Changes, c.String())
-	}
-	return out, nil
-}
