--- a/internal/coordination/gossip/checkpoint.go
+++ b/internal/coordination/gossip/checkpoint.go
@@ -39,16 +39,21 @@
 	if err != nil || !slices.Equal(f.Sum, c.Sum[:]) {
 		return
 	}
-	start := f.Index * partBytes
-	if f.Index < 0 || f.Index > maxCheckpointParts || start >= len(c.Bytes) {
+	if f.Index < 0 || f.Index > maxCheckpointParts {
 		return
 	}
-	data := c.Bytes[start:min(start+partBytes, len(c.Bytes))]
-	if !m.pace(len(data)) {
-		return
+	for i := f.Index; i < f.Index+min(f.Count, pullWindow); i++ {
+		start := i * partBytes
+		if start >= len(c.Bytes) {
+			return
+		}
+		data := c.Bytes[start:min(start+partBytes, len(c.Bytes))]
+		if !m.pace(len(data)) {
+			return
+		}
+		m.counters.PartsSent++
+		out.Send(from, Chunk{Sum: f.Sum, Index: i, Data: data})
 	}
-	m.counters.PartsSent++
-	out.Send(from, Chunk{Sum: f.Sum, Index: f.Index, Data: data})
 }
 
 func (m *Machine) sendOffer(to netip.AddrPort, out *currantturn.Effects) {
@@ -119,26 +124,36 @@
 	m.fetchChunks(now, out)
 }
 
+// fetchChunks keeps some chunks asked for, a few in a row from each peer.
 func (m *Machine) fetchChunks(now time.Time, out *currantturn.Effects) {
 	d := &m.download
 	waiting := 0
-	for i := range d.chunks {
-		if waiting >= checkpointPulls {
-			return
-		}
+	for i := 0; i < len(d.chunks) && waiting < checkpointPulls; i++ {
 		if d.chunks[i] != nil {
 			continue
 		}
-		waiting++
-		if now.Sub(d.asked[i]) < pullTimeout {
+		n := d.due(now, i)
+		waiting += max(n, 1)
+		if n == 0 {
 			continue
 		}
-		d.asked[i] = now
 		m.counters.PullsSent++
-		out.Send(d.peers[m.random.IntN(len(d.peers))], Fetch{Sum: slices.Clone(d.sum[:]), Index: i})
+		peer := d.peers[m.random.IntN(len(d.peers))]
+		out.Send(peer, Fetch{Sum: slices.Clone(d.sum[:]), Index: i, Count: n})
+		i += n - 1
 	}
 }
 
+// due marks the chunks from i on that are to be asked for together.
+func (d *download) due(now time.Time, i int) int {
+	n := 0
+	for n < pullWindow && i+n < len(d.chunks) && d.chunks[i+n] == nil && now.Sub(d.asked[i+n]) >= pullTimeout {
+		d.asked[i+n] = now
+		n++
+	}
+	return n
+}
+
 // onChunk takes a chunk; the last one puts the checkpoint to use.
 func (m *Machine) onChunk(now time.Time, from netip.AddrPort, c *Chunk, out *currantturn.Effects) {
 	d := &m.download
--- a/internal/coordination/gossip/measure_test.go
+++ b/internal/coordination/gossip/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -83,5 +84,46 @@
 		fmt.Printf("n=%d change: p50 %v max %v, reads/s peak %d, bytes/s max %d mean %.0f, faults %v (%.0f s)\n", n,
 			ts[len(ts)/2], ts[len(ts)-1], f.platform.maxReads, most, float64(mean)/f.now.Sub(start).Seconds(), f.faults,
 			time.Since(begin).Seconds())
+		f.resetFigures()
+		from = f.now
+		for _, p := range f.all {
+			if f.r.IntN(2) == 0 {
+				f.start(p)
+			}
+		}
+		ok = f.until(3*time.Minute, f.converged)
+		f.second()
+		most, _ = f.maxBytes()
+		fmt.Printf("n=%d restart of half: converged=%v in %v, reads/s peak %d, bytes/s max %d, faults %v\n", n, ok,
+			f.now.Sub(from), f.platform.maxReads, most, f.faults)
+		for _, wait := range []time.Duration{0, 20 * time.Second} {
+			p50, longest, peak := everybodyReads(n, wait)
+			fmt.Printf("n=%d everybody reads, wait %v: change p50 %v max %v, reads/s peak %d\n", n, wait, p50, longest, peak)
+		}
+	}
+}
+
+// everybodyReads is the naive baseline: each process polls every 4 s, or holds
+// a watch that every change ends; it returns when a change is known and the
+// most reads in a second.
+func everybodyReads(n int, wait time.Duration) (p50, longest time.Duration, peak int) {
+	const every = 4 * time.Second
+	r := rand.New(rand.NewPCG(1, 1))
+	var known []time.Duration
+	reads := map[time.Duration]int{}
+	for range n {
+		phase := time.Duration(r.Int64N(int64(max(every, wait))))
+		if wait == 0 {
+			known = append(known, phase+readSteps*step)
+			reads[phase.Truncate(time.Second)]++
+			continue
+		}
+		known = append(known, readSteps*step)
+		reads[0]++ // the watch ends with the change and the next one begins
+	}
+	slices.Sort(known)
+	for _, k := range reads {
+		peak = max(peak, k)
 	}
+	return known[n/2], known[n-1], peak
 }
--- a/internal/coordination/gossip/message.go
+++ b/internal/coordination/gossip/message.go
@@ -50,11 +50,12 @@
 	Data     []byte
 }
 
-// Fetch asks for a part of a checkpoint, or with an empty sum for an offer.
+// Fetch asks for chunks of a checkpoint, or with an empty sum for an offer.
 type Fetch struct {
 	_     struct{} `cbor:",toarray"`
 	Sum   []byte
-	Index int
+	Index int // of the first chunk
+	Count int
 }
 
 // Offer names a checkpoint that the sender holds, and further peers.
