--- a/internal/coordination/gossip/fleet_test.go
+++ b/internal/coordination/gossip/fleet_test.go
@@ -1,7 +1,6 @@
 package gossip_test
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -36,8 +35,7 @@
 	lives    int
 	view     *currantturn.View
 	at       time.Time // when the last view came in force
-	readyAt  time.Time
-	heard    uint64 // highest position that a peer told of in this life
+	heard    uint64    // highest position that a peer told of in this life
 	heardAt  time.Time
 	bytes    int // sent in this second
 	maxBytes int
@@ -53,29 +51,6 @@
 	life int
 }
 
-type waiting struct {
-	p     *process
-	life  int
-	read  currantturn.Read
-	until int
-}
-
-// platform is the published log and its faults.
-type platform struct {
-	records  []currantturn.Record
-	config   *patch.Configuration
-	snapshot []byte
-	first    []byte // the oldest snapshot, shown by a stale service
-	vms      []currantturn.VM
-	down     bool
-	shown    int // records that a stale service shows, -1 for all
-	other    []currantturn.Record
-	reads    int // in this second
-	maxReads int
-	allReads int
-	waiting  []waiting
-}
-
 // fleet is a loop over the machines with modelled delay.
 type fleet struct {
 	now      time.Time
@@ -145,18 +120,6 @@
 	return f
 }
 
-func (f *fleet) publishSnapshot() {
-	f.platform.snapshot = f.snapshotBytes()
-}
-
-func (f *fleet) snapshotBytes() []byte {
-	p, err := configuration.EncodeSnapshot(f.platform.config)
-	if err != nil {
-		panic(err)
-	}
-	return p
-}
-
 // decode shares the decoded snapshot between the processes of the loop.
 func (f *fleet) decode(p []byte) (*patch.Configuration, error) {
 	if c := f.decoded[string(p)]; c != nil {
@@ -178,7 +141,6 @@
 	p.m = gossip.New(opts)
 	p.lives++
 	p.view = nil
-	p.readyAt = time.Time{}
 	p.heard = 0
 	p.pause = 0
 }
@@ -189,26 +151,6 @@
 	}
 }
 
-// publish appends a patch that changes a weight and returns its position.
-func (f *fleet) publish() uint64 {
-	s := &f.platform.config.Services[f.r.IntN(len(f.platform.config.Services))]
-	p, _ := patch.Encode(&patch.Patch{BuildsOn: f.platform.config.Version, Operations: []patch.Operation{
-		patch.SetWeight{Service: s.Name, ID: s.Backends[f.r.IntN(len(s.Backends))].ID, Weight: 1 + f.r.IntN(9)},
-	}})
-	return f.append(p)
-}
-
-func (f *fleet) append(p []byte) uint64 {
-	r := currantturn.Record{Position: f.platform.config.Position + 1, Author: "asha", Time: f.now, Patch: p}
-	c, _, err := f.platform.config.Next(&r)
-	if err != nil {
-		panic(err)
-	}
-	f.platform.config = c
-	f.platform.records = append(f.platform.records, r)
-	return r.Position
-}
-
 func (f *fleet) run(d time.Duration) {
 	for range int(d / step) {
 		f.advance()
@@ -304,9 +246,6 @@
 	if v := f.out.InForce; v != nil {
 		f.inForce(p, v)
 	}
-	if p.readyAt.IsZero() && p.view != nil {
-		p.readyAt = f.now
-	}
 	f.out.Reset()
 }
 
@@ -369,63 +308,6 @@
 	}
 }
 
-var errDown = errors.New("connection refused")
-
-// log returns what the service shows at present.
-func (f *fleet) shownLog() []currantturn.Record {
-	if f.platform.other != nil {
-		return f.platform.other
-	}
-	if n := f.platform.shown; n >= 0 {
-		return f.platform.records[:n]
-	}
-	return f.platform.records
-}
-
-func (f *fleet) read(p *process, r currantturn.Read) {
-	f.platform.reads++
-	f.platform.allReads++
-	result := &currantturn.ReadResult{Read: r}
-	switch {
-	case f.platform.down || f.blind != nil && f.blind(p):
-		result.Err = errDown
-	case r.Kind == currantturn.ReadSnapshot:
-		result.Snapshot = f.platform.snapshot
-		if f.platform.shown >= 0 {
-			result.Snapshot = f.platform.first
-		}
-	case r.Kind == currantturn.ReadVMs:
-		result.VMs = f.platform.vms
-	default:
-		if log := f.shownLog(); r.After < uint64(len(log)) {
-			result.Records = log[r.After:]
-		} else if r.Wait > 0 {
-			f.platform.waiting = append(f.platform.waiting, waiting{p, p.lives, r, f.step + int(r.Wait/step)})
-			return
-		}
-	}
-	f.enqueue(readSteps, delivery{to: p, read: result, life: p.lives})
-}
-
-func (f *fleet) answerWatches() {
-	log := f.shownLog()
-	kept := f.platform.waiting[:0]
-	for _, w := range f.platform.waiting {
-		result := &currantturn.ReadResult{Read: w.read}
-		switch {
-		case f.platform.down || f.blind != nil && f.blind(w.p):
-			result.Err = errDown
-		case w.read.After < uint64(len(log)):
-			result.Records = log[w.read.After:]
-		case f.step < w.until:
-			kept = append(kept, w)
-			continue
-		}
-		f.enqueue(readSteps, delivery{to: w.p, read: result, life: w.life})
-	}
-	f.platform.waiting = kept
-}
-
 // converged says whether every process has the published version in force.
 func (f *fleet) converged() bool {
 	for _, p := range f.all {
--- a/internal/coordination/gossip/read.go
+++ b/internal/coordination/gossip/read.go
@@ -21,7 +21,6 @@
 	fromStart  bool      // there is no snapshot, so the log is read from its start
 	choose     bool      // who watches may have changed
 	chooseNext time.Time
-	vmsWaiting bool
 	vmsNext    time.Time
 }
 
