--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -1,11 +1,15 @@
 package gossip_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/gossip"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/message"
 	"github.com/currantturn/currantturn/internal/suite"
 	"github.com/currantturn/currantturn/pkg/patch"
 	. "github.com/onsi/ginkgo/v2"
@@ -147,6 +151,25 @@
 		Expect(late.m.Counters().CheckpointsTaken).To(BeNumerically(">", 0))
 	})
 
+	It("decides the same on every run", func() {
+		run := func() string {
+			f := newFleet(9, 25)
+			f.loss = 0.1
+			f.startAll()
+			for range 4 {
+				f.publish()
+				f.run(10 * time.Second)
+				f.start(f.all[f.r.IntN(len(f.all))])
+			}
+			s := fmt.Sprint(f.messages, f.platform.allReads)
+			for _, p := range f.all {
+				s += fmt.Sprint(p.at, p.sum, p.m.Counters())
+			}
+			return s
+		}
+		Expect(run()).To(Equal(run()))
+	})
+
 	It("carries large records", func() {
 		f := started(20)
 		p, _ := patch.Encode(&patch.Patch{BuildsOn: f.platform.config.Version, Operations: manyOperations(f)})
@@ -259,3 +282,50 @@
 		}
 	}
 }
+
+// FuzzHandle hands any message that decodes to a machine in force.
+func FuzzHandle(f *testing.F) {
+	RegisterTestingT(f)
+	fl := newFleet(1, 5)
+	fl.startAll()
+	fl.until(settle, fl.converged)
+	for _, m := range []currantturn.Message{
+		gossip.Digest{Position: 9, Chain: make([]byte, patch.DigestBytes), Age: -1, Answer: true},
+		gossip.Pull{After: 0, Part: -1},
+		gossip.Part{Position: 2, Index: 0, Total: 2, Data: []byte{1}},
+		gossip.Part{Position: 2, Total: 1, Data: []byte{0x85}},
+		gossip.Fetch{Sum: make([]byte, patch.DigestBytes), Index: -1, Count: 1 << 40},
+		gossip.Offer{Position: 9, Sum: make([]byte, patch.DigestBytes), Bytes: 1 << 62},
+		gossip.Chunk{Sum: make([]byte, patch.DigestBytes), Index: 1 << 40},
+	} {
+		p, err := message.Encode(m)
+		Expect(err).NotTo(HaveOccurred())
+		f.Add(p)
+	}
+	p := fl.all[0]
+	opts := gossip.Options{Self: p.addr, Domain: domains[0], Decode: fl.decode}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := message.Decode(b)
+		if err != nil {
+			return
+		}
+		opts.Random = rand.New(rand.NewPCG(1, 1))
+		machine := gossip.New(opts)
+		var out currantturn.Effects
+		machine.Tick(fl.now, &out)
+		read := &currantturn.ReadResult{Read: currantturn.Read{Kind: currantturn.ReadSnapshot}, Snapshot: fl.platform.snapshot}
+		machine.Completed(fl.now, read, &out)
+		for range 3 {
+			machine.Handle(fl.now, fl.all[1].addr, m, &out)
+			machine.Tick(fl.now.Add(time.Second), &out)
+		}
+		if machine.Log().Current().Version < 1 {
+			t.Fatal("went back")
+		}
+		for _, s := range out.Sends {
+			if _, err := message.Encode(s.Message); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
