Limit a caller's opening packets before the flow table

Cause: the limits of flows are checked when QUIC begins a connection, but the agent makes a record for every opening packet before that: one address with 65,000 ports could take a quarter of the table of 262,144 in one idle period of two minutes, and five addresses all of it, so that nobody opens a flow.

limit.Guard stands before the agent's router and takes at most 200 opening packets a second of one caller (9% of the table in two minutes); packets that an agent sends on are not counted twice. Ruled out: counting records by caller in the flow table, which needs a lookup by caller at every expiry.

--- a/internal/coordination/limit/constants.go
+++ b/internal/coordination/limit/constants.go
@@ -5,6 +5,9 @@
 	DefaultFlowsPerSecond = 50
 	// DefaultFlowBurst is how many flows one caller may open at once.
 	DefaultFlowBurst = 200
+	// DefaultOpenings is how many opening packets of one caller are taken each
+	// second; a flow takes a few, and its record lasts for minutes.
+	DefaultOpenings = 200
 	// DefaultCallerFlows is how many flows one caller may hold.
 	DefaultCallerFlows = 256
 	// DefaultCallerRequests is how many requests one caller may have in progress.
--- a/internal/coordination/limit/counters.go
+++ b/internal/coordination/limit/counters.go
@@ -3,17 +3,18 @@
 import "sync/atomic"
 
 type counts struct {
-	allowed, hostFlows, callerFlows, callerRate, callerRequests, adopted, unmatched atomic.Uint64
+	allowed, hostFlows, callerFlows, callerRate, callerRequests, callerOpenings, adopted, unmatched atomic.Uint64
 }
 
 // Counters are a limiter's totals since its start.
 type Counters struct {
-	Allowed        uint64 `json:"allowed"`         // flows and requests allowed
+	Allowed        uint64 `json:"allowed"`         // flows, requests and opening packets allowed
 	Adopted        uint64 `json:"adopted"`         // flows taken over without a limit
 	HostFlows      uint64 `json:"host_flows"`      // flows refused because the host holds its most
 	CallerFlows    uint64 `json:"caller_flows"`    // flows refused because the caller holds its most
 	CallerRate     uint64 `json:"caller_rate"`     // flows refused because the caller opens too many a second
 	CallerRequests uint64 `json:"caller_requests"` // requests refused because the caller has its most in progress
+	CallerOpenings uint64 `json:"caller_openings"` // opening packets dropped because the caller sends too many a second
 	Unmatched      uint64 `json:"unmatched"`       // ends of flows or requests that had not begun
 	Flows          int64  `json:"flows"`           // flows open at present
 	Holding        int    `json:"holding"`         // callers that hold something at present
@@ -32,6 +33,8 @@
 		c.callerRate.Add(1)
 	case CallerRequests:
 		c.callerRequests.Add(1)
+	case CallerOpenings:
+		c.callerOpenings.Add(1)
 	}
 	return v
 }
@@ -46,6 +49,7 @@
 		CallerFlows:    c.callerFlows.Load(),
 		CallerRate:     c.callerRate.Load(),
 		CallerRequests: c.callerRequests.Load(),
+		CallerOpenings: c.callerOpenings.Load(),
 		Unmatched:      c.unmatched.Load(),
 		Flows:          m.flows.Load(),
 	}
--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -19,12 +19,14 @@
 	CallerFlows    Verdict = "caller_flows"
 	CallerRate     Verdict = "caller_rate"
 	CallerRequests Verdict = "caller_requests"
+	CallerOpenings Verdict = "caller_openings"
 )
 
 // Limits are the bounds of one host; a zero takes its default.
 type Limits struct {
 	FlowsPerSecond int // per caller
 	FlowBurst      int // per caller
+	Openings       int // opening packets per caller a second, and at once
 	CallerFlows    int
 	CallerRequests int
 	HostFlows      int
@@ -33,6 +35,7 @@
 func (l Limits) filled() *Limits {
 	fill(&l.FlowsPerSecond, DefaultFlowsPerSecond)
 	fill(&l.FlowBurst, DefaultFlowBurst)
+	fill(&l.Openings, DefaultOpenings)
 	fill(&l.CallerFlows, DefaultCallerFlows)
 	fill(&l.CallerRequests, DefaultCallerRequests)
 	fill(&l.HostFlows, DefaultHostFlows)
@@ -82,7 +85,7 @@
 		switch {
 		case c.flows >= l.CallerFlows:
 			v = CallerFlows
-		case !c.allow(now, l):
+		case !allow(c.opening, now, l.FlowsPerSecond, l.FlowBurst):
 			v = CallerRate
 		default:
 			c.flows++
@@ -94,6 +97,19 @@
 	return m.counts.count(v)
 }
 
+// Opening spends an opening packet of a caller, which may be forged and may
+// never become a flow; it keeps the flow table from filling up.
+func (m *Limiter) Opening(now time.Time, caller netip.Addr) Verdict {
+	l := m.limits.Load()
+	v := Allowed
+	m.with(caller, l, func(c *holder) {
+		if !allow(c.packets, now, l.Openings, l.Openings) {
+			v = CallerOpenings
+		}
+	})
+	return m.counts.count(v)
+}
+
 // AdoptFlow takes a flow into account that was established elsewhere; no limit
 // may break it.
 func (m *Limiter) AdoptFlow(caller netip.Addr) {
@@ -164,18 +180,22 @@
 // holder is what one caller holds.
 type holder struct {
 	flows, requests int
-	opening         *rate.Limiter
+	opening         *rate.Limiter // of flows
+	packets         *rate.Limiter // of opening packets
 }
 
 func newHolder(l *Limits) *holder {
-	return &holder{opening: rate.NewLimiter(rate.Limit(l.FlowsPerSecond), l.FlowBurst)}
+	return &holder{
+		opening: rate.NewLimiter(rate.Limit(l.FlowsPerSecond), l.FlowBurst),
+		packets: rate.NewLimiter(rate.Limit(l.Openings), l.Openings),
+	}
 }
 
-// allow spends one opening, at the rate of the present limits.
-func (c *holder) allow(now time.Time, l *Limits) bool {
-	if c.opening.Limit() != rate.Limit(l.FlowsPerSecond) || c.opening.Burst() != l.FlowBurst {
-		c.opening.SetLimitAt(now, rate.Limit(l.FlowsPerSecond))
-		c.opening.SetBurstAt(now, l.FlowBurst)
+// allow spends one token, at the rate of the present limits.
+func allow(r *rate.Limiter, now time.Time, perSecond, burst int) bool {
+	if r.Limit() != rate.Limit(perSecond) || r.Burst() != burst {
+		r.SetLimitAt(now, rate.Limit(perSecond))
+		r.SetBurstAt(now, burst)
 	}
-	return c.opening.AllowN(now, 1)
+	return r.AllowN(now, 1)
 }
--- a/internal/coordination/limit/limit_test.go
+++ b/internal/coordination/limit/limit_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/limit"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/suite"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -116,9 +118,41 @@
 		Expect(m.Counters()).To(Equal(limit.Counters{Unmatched: 2, Allowed: 1, Flows: 1, Holding: 1}))
 	})
 
+	It("keeps a caller's opening packets from filling the router's table", func() {
+		m := limit.New(limit.Limits{Openings: 10}, key)
+		r := &router{}
+		g := limit.NewGuard(r, m)
+		var out currantturn.Effects
+		route := func(mark currantturn.Mark, hops uint8, d currantturn.Direction, port uint16) {
+			g.Route(start, netip.AddrPort{}, &currantturn.Envelope{Direction: d, Hops: hops, Packet: currantturn.Packet{
+				Mark: mark, Flow: currantturn.FlowKey{Caller: netip.AddrPortFrom(addr(1), port)},
+			}}, &out)
+		}
+		for port := range uint16(1000) {
+			route(currantturn.MarkOpening, 0, currantturn.ToBackend, port)
+		}
+		Expect(r.routed).To(Equal(10))
+		Expect(m.Counters().CallerOpenings).To(Equal(uint64(990)))
+		Expect(event.Check(out.Events[0])).To(Succeed())
+		route(currantturn.MarkOpening, 1, currantturn.ToBackend, 1)
+		route(currantturn.MarkData, 0, currantturn.ToBackend, 1)
+		route(currantturn.MarkOpening, 0, currantturn.ToCaller, 1)
+		Expect(r.routed).To(Equal(13))
+	})
+
 	It("decides like a naive map", func() { rapid.Check(GinkgoT(), differ) })
 })
 
+// router counts what reaches it.
+type router struct {
+	currantturn.Router
+	routed int
+}
+
+func (r *router) Route(time.Time, netip.AddrPort, *currantturn.Envelope, *currantturn.Effects) {
+	r.routed++
+}
+
 // naive is one caller of the naive limiter, which forgets nothing.
 type naive struct {
 	flows, requests int
--- a/internal/protocol/seal/constants.go
+++ b/internal/protocol/seal/constants.go
@@ -38,6 +38,4 @@
 	// windowBits is how many of a sender's latest counters are told apart.
 	windowBits = 2048
 	shards     = 16
-	// maxFileBytes is the largest key file.
-	maxFileBytes = 64 << 10
 )
--- a/internal/protocol/seal/ring.go
+++ b/internal/protocol/seal/ring.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"encoding/hex"
-	"io"
-	"os"
 	"slices"
 	"strconv"
 
@@ -25,20 +23,6 @@
 	Keys   []Key
 }
 
-// LoadRing reads a key file.
-func LoadRing(path string) (Ring, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return Ring{}, eris.Wrap(err, "open the key file")
-	}
-	defer func() { _ = file.Close() }()
-	p, err := io.ReadAll(io.LimitReader(file, maxFileBytes))
-	if err != nil {
-		return Ring{}, eris.Wrap(err, "read the key file")
-	}
-	return ParseRing(p)
-}
-
 func (r Ring) equal(o Ring) bool {
 	return r.Active == o.Active && slices.Equal(r.Keys, o.Keys)
 }
--- a/internal/protocol/seal/seal_test.go
+++ b/internal/protocol/seal/seal_test.go
@@ -5,8 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -326,9 +324,7 @@
 }
 
 var _ = DescribeTable("key file", func(text string, active int, reason string) {
-	path := filepath.Join(GinkgoT().TempDir(), "keys.ini")
-	Expect(os.WriteFile(path, []byte(strings.ReplaceAll(text, "HEX", strings.Repeat("0a", 32))), 0o600)).To(Succeed())
-	r, err := seal.LoadRing(path)
+	r, err := seal.ParseRing([]byte(strings.ReplaceAll(text, "HEX", strings.Repeat("0a", 32))))
 	if reason != "" {
 		Expect(err).To(MatchError(currantturn.ErrMalformed))
 		Expect(err).To(MatchError(ContainSubstring(reason)))
--- a/internal/transport/identity/credentials.go
+++ b/internal/transport/identity/credentials.go
@@ -5,11 +5,10 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
-	"io"
-	"os"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/rotisserie/eris"
 )
 
@@ -26,32 +25,16 @@
 }
 
 func (f Files) read() (c contents, err error) {
-	if c.authorities, err = readFile(f.Authorities); err != nil {
+	if c.authorities, err = file.Read(f.Authorities, maxFileBytes); err != nil {
 		return c, err
 	}
-	if c.certificate, err = readFile(f.Certificate); err != nil {
+	if c.certificate, err = file.Read(f.Certificate, maxFileBytes); err != nil {
 		return c, err
 	}
-	c.key, err = readFile(f.Key)
+	c.key, err = file.Read(f.Key, maxFileBytes)
 	return c, err
 }
 
-func readFile(path string) ([]byte, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, eris.Wrap(err, "open credentials")
-	}
-	defer func() { _ = file.Close() }()
-	p, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
-	if err != nil {
-		return nil, eris.Wrapf(err, "read %s", path)
-	}
-	if len(p) > maxFileBytes {
-		return nil, eris.Wrapf(currantturn.ErrTooLarge, "%s", path)
-	}
-	return p, nil
-}
-
 func (c contents) equal(o contents) bool {
 	return bytes.Equal(c.authorities, o.authorities) &&
 		bytes.Equal(c.certificate, o.certificate) &&
