Check that every package's counters are published under its name

Cause: the page of metrics was made from the Counters types alone, so a package that nobody publishes would still be listed. Nested counters stand under the path where they are published (agent.membership).

--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -4,15 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"go/ast"
-	"go/parser"
-	"go/token"
-	"io/fs"
+	"maps"
 	"net/http/httptest"
-	"path/filepath"
-	"reflect"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -34,74 +28,41 @@
 by ` + "`go test ./internal/metric -update`" + `.
 `
 
-// counter is one field of a package's Counters type, as its source declares it.
-type counter struct{ name, meaning string }
-
-// declaredCounters reads the Counters types of all packages from their sources.
-func declaredCounters() (map[string][]counter, error) {
-	all := map[string][]counter{}
-	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
-		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
-		if err != nil {
-			return err
-		}
-		ast.Inspect(f, func(n ast.Node) bool {
-			spec, ok := n.(*ast.TypeSpec)
-			if ok && spec.Name.Name == "Counters" {
-				all[f.Name.Name] = append(all[f.Name.Name], fieldsOf(spec)...)
-			}
-			return true
-		})
-		return nil
-	})
-	return all, err
-}
-
-func fieldsOf(spec *ast.TypeSpec) []counter {
-	var fields []counter
-	s, ok := spec.Type.(*ast.StructType)
-	if !ok {
-		return nil
-	}
-	for _, f := range s.Fields.List {
-		if f.Tag == nil {
-			continue
-		}
-		name, _, _ := strings.Cut(reflect.StructTag(strings.Trim(f.Tag.Value, "`")).Get("json"), ",")
-		meaning := strings.TrimSpace(f.Comment.Text() + f.Doc.Text())
-		fields = append(fields, counter{name, strings.ReplaceAll(meaning, "\n", " ")})
-	}
-	return fields
-}
-
 func TestDocsListEveryCounter(t *testing.T) {
-	all, err := declaredCounters()
+	all, err := readSources("..")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var subsystems []string
-	for s := range all {
-		subsystems = append(subsystems, s)
-	}
-	slices.Sort(subsystems)
 	var b bytes.Buffer
 	b.WriteString(docHeader)
-	for _, s := range subsystems {
-		fmt.Fprintf(&b, "\n## %s\n\n| Name | Meaning |\n|---|---|\n", s)
-		for _, c := range all[s] {
+	for _, pkg := range slices.Sorted(maps.Keys(all.counters)) {
+		subsystem := pkg
+		if path, ok := all.nested[pkg]; ok {
+			subsystem = path
+		}
+		fmt.Fprintf(&b, "\n## %s\n\n| Name | Meaning |\n|---|---|\n", subsystem)
+		for _, c := range all.counters[pkg] {
 			if c.name == "" || c.meaning == "" {
-				t.Errorf("a field of %s.Counters (%q) lacks its json name or a comment with its meaning", s, c.name)
+				t.Errorf("a field of %s.Counters (%q) lacks its json name or a comment with its meaning", pkg, c.name)
 			}
-			fmt.Fprintf(&b, "| %s.%s | %s |\n", s, c.name, c.meaning)
+			fmt.Fprintf(&b, "| %s.%s | %s |\n", subsystem, c.name, c.meaning)
 		}
 	}
 	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
 	g.Assert(t, "METRICS", b.Bytes())
 }
 
+var _ = Describe("sources", func() {
+	It("publish the counters of each package under its name, and nothing else", func() {
+		all, err := readSources("..")
+		Expect(err).NotTo(HaveOccurred())
+		for pkg := range all.nested {
+			delete(all.counters, pkg)
+		}
+		Expect(slices.Sorted(maps.Keys(all.published))).To(Equal(slices.Sorted(maps.Keys(all.counters))))
+	})
+})
+
 var _ = Describe("registry", func() {
 	It("publishes snapshots as they are at each read, beside the program's own", func() {
 		n := 0
