Remove settings that nothing reads

Cause: watch_wait and queue had no reader: the wait of a watch is a constant of the gossip, and the queue's bound comes from the configuration. A test now looks for a reader of each field (seen to fail for both kinds of key before).

--- a/internal/process/keys.go
+++ b/internal/process/keys.go
@@ -4,31 +4,16 @@
 	"bytes"
 	"crypto/tls"
 	"encoding/hex"
-	"io"
-	"os"
 
 	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/file"
 	"github.com/currantturn/currantturn/internal/protocol/seal"
 	"github.com/rotisserie/eris"
 )
 
-// readKeyFile reads a small file that settings name.
-func readKeyFile(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = f.Close() }()
-	p, err := io.ReadAll(io.LimitReader(f, maxKeyFileBytes+1))
-	if err == nil && len(p) > maxKeyFileBytes {
-		err = eris.Errorf("%s is larger than %d bytes", path, maxKeyFileBytes)
-	}
-	return p, err
-}
-
 // readSecrets reads the fleet's hash key, in hexadecimal.
 func readSecrets(path string) (core.Secrets, error) {
-	p, err := readKeyFile(path)
+	p, err := file.Read(path, maxKeyFileBytes)
 	if err != nil {
 		return core.Secrets{}, err
 	}
@@ -42,7 +27,7 @@
 
 // readRing reads the fleet's datagram keys.
 func readRing(path string) (seal.Ring, error) {
-	p, err := readKeyFile(path)
+	p, err := file.Read(path, maxKeyFileBytes)
 	if err != nil {
 		return seal.Ring{}, err
 	}
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -44,7 +44,6 @@
 type Platform struct {
 	URLs                []*url.URL
 	ReadTimeout         time.Duration
-	WatchWait           time.Duration
 	ReadBudgetPerSecond float64
 	Peers               []netip.AddrPort // asked while the platform does not answer
 	FleetSize           int              // processes expected until a configuration tells
@@ -101,7 +100,6 @@
 	Retention        time.Duration
 	RecordStoreBytes int64
 	ClockSkew        time.Duration
-	Queue            int
 	WatchesMax       int
 	ColdStart        time.Duration
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -119,7 +122,7 @@
 		},
 		Entry("unknown section", &balancer, "\n[flow]", "[flow]: unknown section"),
 		Entry("unknown key", &balancer, "\n[flows]\ncolour = red", "[flows] colour: unknown key"),
-		Entry("key of the other role", &balancer, "\n[requests]\nqueue = 1", "[requests] queue: does not apply to the role balancer"),
+		Entry("key of the other role", &balancer, "\n[requests]\nwatches_max = 1", "[requests] watches_max: does not apply to the role balancer"),
 		Entry("repeated key", &agent, "\n[requests]\nretention = 1m\nretention = 2m", "[requests] retention: given more than once"),
 		Entry("duration below its range", &agent, "\n[flows]\nidle_timeout = 1s", "[flows] idle_timeout: 1s is out of range (10s to 24h)"),
 		Entry("no duration", &agent, "\n[flows]\nidle_timeout = 10", `[flows] idle_timeout: "10" is not a duration such as 500ms or 30s`),
@@ -135,6 +138,28 @@
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
 	)
 
+	It("has no key that the program does not read", func() {
+		paths, err := filepath.Glob("../[cp]*/*.go") // command and process
+		Expect(err).NotTo(HaveOccurred())
+		var files []string
+		for _, path := range paths {
+			text, err := os.ReadFile(path)
+			Expect(err).NotTo(HaveOccurred())
+			files = append(files, string(text))
+		}
+		sections := reflect.TypeFor[settings.Options]()
+		for i := range sections.NumField() {
+			section := sections.Field(i)
+			for j := range section.Type.NumField() {
+				field := section.Type.Field(j).Name
+				read := slices.ContainsFunc(files, func(text string) bool {
+					return strings.Contains(text, "."+section.Name) && regexp.MustCompile(`\.`+field+`\b`).MatchString(text)
+				})
+				Expect(read).To(BeTrue(), section.Name+"."+field)
+			}
+		}
+	})
+
 	It("has defaults that parse, for both roles", func() {
 		for _, r := range []currantturn.Role{currantturn.RoleBalancer, currantturn.RoleAgent} {
 			Expect(func() { settings.Default(r) }).NotTo(Panic())
