--- a/internal/standin/platform/service_test.go
+++ b/internal/standin/platform/service_test.go
@@ -112,6 +112,19 @@
 		Expect(s.Counts().VMs).To(Equal(7))
 	})
 
+	It("reads a whole log that is larger than one value", func() {
+		s, c := start(platform.Options{})
+		large := append(addService(0, "a", 1), make([]byte, 300<<10)...)
+		for range 5 {
+			_, err := s.Publish("asha", large)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		records, err := platform.ReadLog(ctx, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records).To(HaveLen(5))
+		Expect(s.Counts().Records).To(BeNumerically(">", 2))
+	})
+
 	It("hands a machine's reads back, and ends with them", func() {
 		s, c := start(platform.Options{})
 		_, _ = s.Publish("asha", addService(0, "verify", 1))
