Say farewell at a planned stop, so that no request key waits for a stopped owner

Cause, found by the test of separate processes: after a planned stop of an agent, the first new keys that it owned got outcome_unknown after 2 s, because peers learnt of its end by silence only. A first try failed: the stopped process refuted the news of its own end.

--- a/internal/coordination/membership/farewell.go
+++ b/internal/coordination/membership/farewell.go
@@ -7,11 +7,12 @@
 )
 
 // Farewell tells other members that this process has ended as planned, so
-// that they need not find out by its silence.
+// that they need not find out by its silence; after it the list is silent.
 func (l *List) Farewell(now time.Time, out *currantturn.Effects) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.start(now)
+	l.ended = true
 	last := l.self
 	last.State = Dead
 	last.Leaving = true
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -95,6 +95,7 @@
 	parted    bool
 	restarted []currantturn.BackendID
 	counters  Counters
+	ended     bool // after the farewell
 }
 
 // Counters are a list's totals since its start.
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -13,6 +13,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.start(now)
+	if l.ended {
+		return
+	}
 	l.load = load
 	if m := l.byID[l.opts.ID]; m != nil {
 		m.Load = load
@@ -162,6 +165,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.start(now)
+	if l.ended {
+		return
+	}
 	switch m := m.(type) {
 	case Ping:
 		l.handlePing(now, from, m, out)
