Count only agreeing peers before a start, and hold back a contradicted platform

With another random source the run of the rewritten log failed; over 40 seeds two causes showed: a read that began before the process gave way was appended to the peers' log without its overlap, and peers that were ahead counted as agreeing before their log could be compared, so that a starting process went in force on the platform's rewritten records. The spec now runs 40 seeds; it failed before each of the two changes and passes after both.

--- a/internal/coordination/gossip/gossip_test.go
+++ b/internal/coordination/gossip/gossip_test.go
@@ -100,20 +100,24 @@
 	})
 
 	It("keeps what is in force when the log is rewritten, and says so", func() {
-		f := started(30)
-		f.publish()
-		f.expectConverged(settle)
-		other := newFleet(1, 30)
-		other.r.Uint64()
-		other.append([]byte(`{}`))
-		other.append([]byte(`{}`))
-		f.platform.other = other.platform.records
-		f.platform.snapshot = other.snapshotBytes()
-		f.seeds = false
-		f.start(f.all[5]) // the joiner starts from the rewritten snapshot and gives way
-		f.run(2 * time.Minute)
-		f.expectConverged(time.Second)
-		Expect(f.eventCount(event.ConfigurationDiverged)).To(BeNumerically(">", 0))
+		for seed := range uint64(40) {
+			f := newFleet(seed, 30)
+			f.seeds = true
+			f.startAll()
+			f.expectConverged(settle)
+			f.publish()
+			f.expectConverged(settle)
+			other := newFleet(seed, 30)
+			other.append([]byte(`{}`))
+			other.append([]byte(`{}`))
+			f.platform.other = other.platform.records
+			f.platform.snapshot = other.snapshotBytes()
+			f.seeds = false
+			f.start(f.all[5]) // the joiner starts from the rewritten snapshot and gives way
+			f.run(2 * time.Minute)
+			f.expectConverged(time.Second)
+			Expect(f.eventCount(event.ConfigurationDiverged)).To(BeNumerically(">", 0), "seed %d", seed)
+		}
 	})
 
 	It("converges on the highest version after a partition", func() {
--- a/internal/coordination/gossip/machine.go
+++ b/internal/coordination/gossip/machine.go
@@ -44,7 +44,7 @@
 	inForce    *currantturn.View   // last published, nil before the process was ready
 	early      []*currantturn.View // versions before that, in order
 	refused    bool                // reported that it is not ready
-	answered   []netip.AddrPort    // peers that answered since the start or pause
+	answered   []netip.AddrPort    // peers that agreed since the start or pause
 	troubled   time.Time           // first read that failed or was stale since the start or pause
 
 	hot          int // rounds to go
--- a/internal/coordination/gossip/read.go
+++ b/internal/coordination/gossip/read.go
@@ -144,6 +144,13 @@
 		m.wentStale(now, r.Read.After, out)
 		return
 	}
+	if head := m.head().Position; head > 0 && r.Records[0].Position > head {
+		return // the read began before a restart and shows nothing of the own log
+	}
+	if m.reads.distrusted && m.inForce == nil {
+		m.trouble(now)
+		return // peers contradicted the platform; their log comes first
+	}
 	for i := range r.Records {
 		if r.Records[i].Position > m.head().Position+1 {
 			break
--- a/internal/coordination/gossip/spread.go
+++ b/internal/coordination/gossip/spread.go
@@ -67,7 +67,8 @@
 		return
 	}
 	head := m.head()
-	if own, known := m.log.DigestAt(d.Position); known && d.Position <= head.Position && own != chain {
+	own, known := m.log.DigestAt(d.Position)
+	if known && own != chain {
 		m.opposed(now, from, d.Position, chain, out)
 		return
 	}
@@ -75,8 +76,8 @@
 	if d.Position > 0 && d.Age >= 0 && d.Age < unknownAge {
 		m.confirm(now.Add(-d.Age), d.Position)
 	}
-	if d.Position > 0 && !slices.Contains(m.answered, from) && len(m.answered) < joinAnswers {
-		m.answered = append(m.answered, from)
+	if known && d.Position > 0 {
+		m.agreed(from)
 	}
 	if d.Position > head.Position {
 		m.askFor(now, from, out)
@@ -86,6 +87,13 @@
 	}
 }
 
+// agreed counts the peers whose log is the own one.
+func (m *Machine) agreed(from netip.AddrPort) {
+	if len(m.answered) < joinAnswers && !slices.Contains(m.answered, from) {
+		m.answered = append(m.answered, from)
+	}
+}
+
 // pace says whether the byte budget allows an answer; peers that get none ask
 // others.
 func (m *Machine) pace(bytes int) bool {
