--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -105,6 +105,10 @@
 		return
 	}
 	if to := s.Backend(b.holders[e.Packet.Flow]); to != nil {
+		if e.Packet.Mark == currantturn.MarkClosing {
+			delete(b.holders, e.Packet.Flow)
+			b.flows[to.ID]--
+		}
 		forward(s, to, e, out)
 		return
 	}
--- a/internal/coordination/affinity/session_test.go
+++ b/internal/coordination/affinity/session_test.go
@@ -15,13 +15,14 @@
 	sessions   map[currantturn.FlowKey]*session
 	leaving    time.Time // since when
 	byEndpoint bool      // leaving was declared at its own endpoint
-	work       int       // of its sessions
+	slots      int
+	work       int // of its sessions
 	opened     int
 	last       time.Time // last new flow sent here
 }
 
 func (h *host) load() currantturn.Load {
-	return currantturn.Load{Running: h.work, Slots: 3}
+	return currantturn.Load{Running: h.work, Slots: h.slots}
 }
 
 // session is a flow as its caller sees it.
@@ -91,6 +92,9 @@
 		return
 	}
 	b := up[w.rng.IntN(len(up))]
+	if w.sticky {
+		b = up[key.Flow(s.flow)%uint64(len(up))]
+	}
 	boot := b.boot
 	e := currantturn.Envelope{
 		Direction: currantturn.ToBackend,
@@ -102,6 +106,9 @@
 // deliver checks a packet that reached a backend server.
 func (w *world) deliver(n *node, p currantturn.Packet) {
 	s := w.flows[p.Flow]
+	if s == nil {
+		return
+	}
 	h := n.backend
 	w.report.delivered++
 	if w.view.At(p.Flow.Service).Name != h.service {
@@ -168,6 +175,7 @@
 		s.home.backend.work -= s.weight
 	}
 	w.spray(s, currantturn.MarkClosing)
+	delete(w.flows, s.flow)
 }
 
 // crash stops a process at once; a backend server's sessions end with it.
--- a/internal/coordination/affinity/world_test.go
+++ b/internal/coordination/affinity/world_test.go
@@ -86,6 +86,7 @@
 	flows     map[currantturn.FlowKey]*session
 	order     []*session
 	report    report
+	sticky    bool // the fabric gives each flow to one balancer
 	apart     bool // a partition outlasted the time to a verdict of death
 	vms       []currantturn.VM
 }
@@ -150,7 +151,7 @@
 	s.Backends = append(s.Backends, currantturn.BackendServer{
 		ID: id, Agent: at, Slots: slots, Weight: weight, State: currantturn.BackendActive,
 	})
-	n := &node{at: at, backend: &host{id: id, service: s.Name, index: service, sessions: make(map[currantturn.FlowKey]*session)}}
+	n := &node{at: at, backend: &host{id: id, service: s.Name, index: service, slots: slots, sessions: make(map[currantturn.FlowKey]*session)}}
 	w.nodes[at] = n
 	w.agents = append(w.agents, n)
 	w.boot(n)
--- a/internal/coordination/agent/search.go
+++ b/internal/coordination/agent/search.go
@@ -192,7 +192,7 @@
 			out.Event(event.FlowAdopted, event.F("flow", d.env.Packet.Flow), event.F("service", a.opts.Service),
 				event.F("backend", a.opts.ID))
 			a.place(d)
-		case a.members.Parted():
+		case a.members.Parted(now):
 			a.reject(d, "holder may be beyond a partition")
 		default:
 			a.reject(d, "flow is unknown to every agent")
--- a/internal/coordination/membership/constants.go
+++ b/internal/coordination/membership/constants.go
@@ -15,6 +15,8 @@
 	// DeadGrace is how long packets still go to a member that was declared dead,
 	// because it may only be paused.
 	DeadGrace = 3 * time.Second
+	// HealTime is how long after a partition its members are found again.
+	HealTime = 10 * time.Second
 	// PauseGap is the time between two ticks that counts as a pause.
 	PauseGap = 500 * time.Millisecond
 	// StaleFor is how long knowledge counts as stale after a pause or a start.
--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -93,6 +93,7 @@
 	stale     time.Time // until when knowledge counts as stale
 	epoch     uint64
 	parted    bool
+	healed    time.Time // when a likely partition ended
 	restarted []currantturn.BackendID
 	counters  Counters
 }
@@ -181,7 +182,11 @@
 			dead++
 		}
 	}
+	was := l.parted
 	l.parted = dead > 1 && dead*partedShare > len(l.members)
+	if was && !l.parted {
+		l.healed = now
+	}
 }
 
 // Listed takes from the VM list whether a member leaves.
@@ -263,14 +268,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m := l.byID[id]
-	return m != nil && m.State == Dead && now.Sub(m.changed) >= DeadGrace && !l.parted
+	return m != nil && m.State == Dead && now.Sub(m.changed) >= DeadGrace && !l.apart(now)
 }
 
-// Parted says whether so many members are dead that a partition is likely.
-func (l *List) Parted() bool {
+// Parted says whether so many members are dead, or were until a moment ago,
+// that a partition is likely.
+func (l *List) Parted(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.parted
+	return l.apart(now)
+}
+
+func (l *List) apart(now time.Time) bool {
+	return l.parted || now.Sub(l.healed) < HealTime
 }
 
 // Leaving says whether this process takes no new work.
