Open flows again whose host died before its answer; measure control and costs

A flow that was placed at a host just before its death waited for the grace of 5 s, because the host might only be paused. Nothing but opening packets had followed the redirect, so that nobody relies on that host yet: it is placed anew at the verdict of death.

A control message carries 3 updates instead of 6: after the start of 400 agents at once the updates had cost 5,426 bytes/s with 10 new flows a second.

Ranking leaves the logarithm out where all weights are equal, and a balancer that follows a connection ID or a hint does not rank at all.

--- a/internal/coordination/affinity/imbalance_test.go
+++ b/internal/coordination/affinity/imbalance_test.go
@@ -36,6 +36,7 @@
 	var arrive func()
 	arrive = func() {
 		f := w.open(0, false)
+		w.talk(f, 40*time.Second)
 		life := time.Duration(w.rng.ExpFloat64() * float64(flowTime))
 		w.after(life, func() { w.finish(f, s.slow, life) })
 		w.after(time.Duration(w.rng.ExpFloat64()*float64(gap)), arrive)
--- a/internal/coordination/affinity/world_test.go
+++ b/internal/coordination/affinity/world_test.go
@@ -86,8 +86,9 @@
 	flows     map[currantturn.FlowKey]*session
 	order     []*session
 	report    report
-	sticky    bool // the fabric gives each flow to one balancer
-	apart     bool // a partition outlasted the time to a verdict of death
+	sent      func(to *node) // called for opening packets on their way
+	sticky    bool           // the fabric gives each flow to one balancer
+	apart     bool           // a partition outlasted the time to a verdict of death
 	vms       []currantturn.VM
 }
 
@@ -296,6 +297,9 @@
 // send carries an envelope or a message between two nodes.
 func (w *world) send(n *node, to netip.AddrPort, e currantturn.Envelope, m currantturn.Message) {
 	peer := w.nodes[to]
+	if m == nil && w.sent != nil && e.Packet.Mark == currantturn.MarkOpening && e.Direction == currantturn.ToBackend {
+		w.sent(peer)
+	}
 	if peer == nil || n.group != peer.group || w.silent[[2]netip.AddrPort{n.at, to}] {
 		return
 	}
--- /dev/null
+++ b/internal/coordination/agent/agent_bench_test.go
@@ -0,0 +1,87 @@
+package agent_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/agent"
+	"github.com/currantturn/currantturn/internal/coordination/balancer"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+)
+
+var sizes = []int{7, 20, 100, 1000}
+
+// BenchmarkDeliver routes data packets of held flows.
+func BenchmarkDeliver(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			a := newAgent(0, view(1, n))
+			out := new(currantturn.Effects)
+			const flows = 1000
+			for i := range flows {
+				e := packet(currantturn.FlowKey{Caller: caller(i), Service: at}, currantturn.MarkOpening)
+				e.Intent = currantturn.IntentPlace
+				a.Route(settled, link(1), e, out)
+			}
+			e := packet(currantturn.FlowKey{Service: at}, currantturn.MarkData, id(0))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				out.Reset()
+				e.Packet.Flow.Caller = caller(i % flows)
+				a.Route(settled, through, e, out)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace places new flows as their home.
+func BenchmarkPlace(b *testing.B) {
+	const flows = 16
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			v := view(1, n)
+			t := rank.NewTable(&v.Services[0])
+			var homes []currantturn.FlowKey
+			for i := 0; len(homes) < flows; i++ {
+				f := currantturn.FlowKey{Caller: caller(i), Service: at}
+				if t.Owner(key.Flow(f)).ID == id(0) {
+					homes = append(homes, f)
+				}
+			}
+			out := new(currantturn.Effects)
+			var a *agent.Agent
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				if i%flows == 0 {
+					b.StopTimer()
+					a = newAgent(0, v)
+					b.StartTimer()
+				}
+				out.Reset()
+				a.Route(settled, through, packet(homes[i%flows], currantturn.MarkOpening, id(0)), out)
+			}
+		})
+	}
+}
+
+// BenchmarkBalancer routes callers' packets.
+func BenchmarkBalancer(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("backends=%d", n), func(b *testing.B) {
+			m := balancer.New(balancer.Options{Self: through, Key: key})
+			out := new(currantturn.Effects)
+			m.Configure(start, view(1, n), out)
+			e := packet(currantturn.FlowKey{Service: at}, currantturn.MarkData)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				out.Reset()
+				e.Packet.Flow.Caller = caller(i % 60000)
+				m.Route(settled, currantturn.FlowKey{}.Caller, e, out)
+			}
+		})
+	}
+}
--- a/internal/coordination/agent/constants.go
+++ b/internal/coordination/agent/constants.go
@@ -45,6 +45,7 @@
 	maxTries       = 12                     // sends of one announcement
 	sweepRecords   = 4096                   // records visited in one tick
 	sweepShards    = 16                     // shards visited in one tick
+	flowShare      = 0.25                   // weight of flows that are idle against work in progress
 	selfSlack      = 0.02                   // how much worse the home itself may score than a peer
 	announceBurst  = 2 * AnnounceBytesPerSecond
 	recordBytes    = 40 // wire size of a flow in an announcement
--- a/internal/coordination/agent/place.go
+++ b/internal/coordination/agent/place.go
@@ -100,7 +100,7 @@
 	return id, ok
 }
 
-// scale holds the service's means, so that work and flows weigh alike.
+// scale holds the service's sums, which make work and flows comparable.
 type scale struct {
 	work  float64
 	flows float64
@@ -183,5 +183,5 @@
 // counts, so that an idle small backend server does not beat an idle large one.
 func (s *scale) score(now time.Time, m *membership.Member) float64 {
 	c := m.Capacity(now)
-	return (work(m)+1)/c/(s.work+1) + (flows(m)+1)/c/(s.flows+1)
+	return (work(m)+1)/c/(s.work+1) + flowShare*(flows(m)+1)/c/(s.flows+1)
 }
--- a/internal/coordination/agent/record.go
+++ b/internal/coordination/agent/record.go
@@ -221,7 +221,9 @@
 		a.counts.tableFull.Add(1)
 		return
 	}
+	used := r.Flags & flow.Used
 	shard.Redirect(r, holder)
+	r.Set(used)
 	r.Seen = flow.StampOf(now)
 }
 
--- a/internal/coordination/agent/route.go
+++ b/internal/coordination/agent/route.go
@@ -180,6 +180,14 @@
 	opening := d.env.Packet.Mark == currantturn.MarkOpening
 	_, known := d.plan.address(holder)
 	lost := !known || a.members.Lost(d.now, holder)
+	if opening && !r.Has(flow.Used) {
+		// Nothing but opening packets came so far: the caller has no answer yet.
+		m, ok := a.members.Get(holder)
+		lost = lost || (ok && m.State == membershipDead)
+	}
+	if !opening {
+		r.Set(flow.Used)
+	}
 	switch {
 	case holder == a.opts.ID, holder == "", lost:
 		// Nobody holds the flow any more; data packets are reset here.
--- a/internal/coordination/balancer/route.go
+++ b/internal/coordination/balancer/route.go
@@ -25,10 +25,11 @@
 	}
 	sp := p.services[s.Name]
 	hash := b.opts.Key.Flow(e.Packet.Flow)
-	ranks := b.opts.rankAll(sp, hash)
+	var ranks [currantturn.MaxRanks]currantturn.BackendID
 	to := b.holder(sp, hash, &e.Packet)
 	if to == nil {
-		to = sp.home(ranks)
+		ranks = sp.ranks(hash)
+		to = sp.service.Backend(ranks[0])
 	}
 	if to == nil {
 		b.counts.unroutable.Add(1)
@@ -44,8 +45,8 @@
 	next.Ranks = ranks
 }
 
-// rankAll returns the flow's ranks among the live backend servers.
-func (o *Options) rankAll(sp *servicePlan, hash uint64) (ids [currantturn.MaxRanks]currantturn.BackendID) {
+// ranks returns the flow's ranks among the live backend servers.
+func (sp *servicePlan) ranks(hash uint64) (ids [currantturn.MaxRanks]currantturn.BackendID) {
 	var top [currantturn.MaxRanks]int
 	n := sp.live.Top(hash, rank.Every, top[:])
 	for i := range n {
@@ -54,11 +55,6 @@
 	return ids
 }
 
-// home is the first rank.
-func (sp *servicePlan) home(ranks [currantturn.MaxRanks]currantturn.BackendID) *currantturn.BackendServer {
-	return sp.service.Backend(ranks[0])
-}
-
 // holder returns the backend server that the connection ID or a hint names, if
 // it is worth a try; it is only ever a shortcut.
 func (b *Balancer) holder(sp *servicePlan, hash uint64, p *currantturn.Packet) *currantturn.BackendServer {
--- a/internal/coordination/membership/constants.go
+++ b/internal/coordination/membership/constants.go
@@ -26,7 +26,7 @@
 
 	partedShare     = 4  // a partition is likely when more than 1/partedShare are dead
 	indirectProbes  = 3  // peers asked to probe a silent one
-	maxUpdates      = 6  // updates in one message
+	maxUpdates      = 3  // updates in one message
 	maxQueued       = 64 // updates that wait for messages
 	maxProbes       = 32 // unanswered probes
 	maxRelays       = 64 // probes on behalf of others
--- a/internal/coordination/rank/rank.go
+++ b/internal/coordination/rank/rank.go
@@ -43,9 +43,12 @@
 // Score is the weighted rendezvous score of a backend server for a key hash;
 // the highest score ranks first.
 func Score(key, seed uint64, weight int) float64 {
-	h := mix(key ^ seed)
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(weight) / math.Log(u)
+	return -float64(weight) / math.Log(uniform(key, seed))
+}
+
+// uniform maps a key and a seed to (0, 1).
+func uniform(key, seed uint64) float64 {
+	return (float64(mix(key^seed)>>11) + 0.5) / (1 << 53)
 }
 
 // mix is the finalizer of SplitMix64.
@@ -60,13 +63,15 @@
 type Table struct {
 	Service *currantturn.Service
 	seeds   []uint64
+	equal   bool // all weights are equal, so that the hash itself gives the order
 }
 
 // NewTable prepares a service for ranking.
 func NewTable(s *currantturn.Service) *Table {
-	t := &Table{Service: s, seeds: make([]uint64, len(s.Backends))}
+	t := &Table{Service: s, seeds: make([]uint64, len(s.Backends)), equal: true}
 	for i := range s.Backends {
 		t.seeds[i] = Seed(s.Backends[i].ID)
+		t.equal = t.equal && max(s.Backends[i].Weight, 1) == max(s.Backends[0].Weight, 1)
 	}
 	return t
 }
@@ -95,12 +100,20 @@
 		if !accept(b) {
 			continue
 		}
-		s := Score(key, t.seeds[i], max(b.Weight, 1))
+		s := t.score(key, i)
 		n = insert(scores[:limit], out[:limit], n, s, i)
 	}
 	return n
 }
 
+// score orders like Score; the logarithm is left out where it changes nothing.
+func (t *Table) score(key uint64, i int) float64 {
+	if t.equal {
+		return uniform(key, t.seeds[i])
+	}
+	return Score(key, t.seeds[i], max(t.Service.Backends[i].Weight, 1))
+}
+
 // insert keeps the n best scores in descending order; ties keep the lower index.
 func insert(scores []float64, out []int, n int, s float64, index int) int {
 	if n == len(scores) && s <= scores[n-1] {
--- a/internal/coordination/rank/rank_test.go
+++ b/internal/coordination/rank/rank_test.go
@@ -40,6 +40,21 @@
 		}
 	})
 
+	It("orders equal weights as the weighted score does", func() {
+		s := service(20)
+		t := rank.NewTable(s)
+		for key := range uint64(5000) {
+			key *= 0x9e3779b97f4a7c15
+			best := 0
+			for i := range s.Backends {
+				if rank.Score(key, rank.Seed(s.Backends[i].ID), 1) > rank.Score(key, rank.Seed(s.Backends[best].ID), 1) {
+					best = i
+				}
+			}
+			Expect(t.Owner(key).ID).To(Equal(s.Backends[best].ID))
+		}
+	})
+
 	It("follows the weights", func() {
 		s := service(3)
 		s.Backends[2].Weight = 2
--- a/internal/state/flow/table.go
+++ b/internal/state/flow/table.go
@@ -11,6 +11,7 @@
 	Closed                  // a closing mark was seen
 	Silent                  // never announced: another holder supersedes it, or connection IDs carry it
 	Dirty                   // the announced ranks may be outdated
+	Used                    // packets other than the opening ones followed this redirect
 	Placed                  // redirect that this agent chose as the home
 	Fenced                  // redirect to an agent that asked before it placed the flow
 )
