--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
 )
 
 // Decision is what becomes of a request.
@@ -46,6 +48,7 @@
 	mu       sync.Mutex
 	slots    int
 	limit    int // of the queue
+	longest  int // what was queued when the limit was last lowered
 	draining bool
 	warm     time.Time // since when the backend server ramps up
 	running  int
@@ -85,6 +88,7 @@
 		g.slots = b.Slots
 	}
 	if s.Limits.QueuePerBackend > 0 {
+		g.longest = len(g.queue)
 		g.limit = s.Limits.QueuePerBackend
 	}
 	g.peers.configure(s, g.opts.ID)
@@ -216,9 +220,13 @@
 }
 
 // Tick expires and, while the backend server ramps up, admits queued requests.
-func (g *Gate) Tick(now time.Time, _ *currantturn.Effects) {
+func (g *Gate) Tick(now time.Time, out *currantturn.Effects) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.running < 0 || g.watches < 0 || len(g.queue) > max(g.limit, g.longest) {
+		detail := fmt.Sprintf("running %d, watches %d, queued %d", g.running, g.watches, len(g.queue))
+		out.Event(event.InvariantViolated, event.F("invariant", "gate_counts"), event.F("detail", detail))
+	}
 	g.advance(now)
 }
 
--- a/internal/coordination/claim/counters.go
+++ b/internal/coordination/claim/counters.go
@@ -3,7 +3,7 @@
 import "sync/atomic"
 
 type ownerCounts struct {
-	granted, fenced, full atomic.Uint64
+	granted, fenced, full, violations atomic.Uint64
 }
 
 // Counters are the totals of a Claims machine since its start.
@@ -12,6 +12,7 @@
 	Fenced     uint64 `json:"fenced"`     // keys given up to a newer owner before a grant
 	Full       uint64 `json:"full"`       // keys refused by a full store
 	Unanswered uint64 `json:"unanswered"` // attempts that ended without their owner's answer
+	Violations uint64 `json:"violations"` // broken invariants
 	Records    int    `json:"records"`    // records at present
 	Bytes      int    `json:"bytes"`      // bytes that the records reserve at present
 	Attempts   int    `json:"attempts"`   // attempts at present, unconfirmed reports included
@@ -25,6 +26,7 @@
 		Fenced:     c.owner.counts.fenced.Load(),
 		Full:       c.owner.counts.full.Load(),
 		Unanswered: c.runner.unanswered.Load(),
+		Violations: c.owner.counts.violations.Load(),
 		Records:    records,
 		Bytes:      bytes,
 		Attempts:   int(c.runner.size.Load()),
--- a/internal/coordination/claim/owner.go
+++ b/internal/coordination/claim/owner.go
@@ -276,6 +276,11 @@
 
 // grant gives the key to the newest attempt, or closes it when none may run.
 func (o *owner) grant(s *shard, k request.Key, r *claimRecord, out *currantturn.Effects) {
+	if r.phase != asking || o.beforeStart(k) {
+		o.counts.violations.Add(1)
+		out.Event(event.InvariantViolated, event.F("invariant", "grant_once"), event.F("detail", k.String()))
+		return
+	}
 	r.question = nil
 	for i := len(r.waiters) - 1; i >= 0 && !r.refused; i-- {
 		w := r.waiters[i]
--- a/internal/coordination/claim/owner_test.go
+++ b/internal/coordination/claim/owner_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/claim"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/protocol/message"
 	"github.com/currantturn/currantturn/internal/protocol/request"
 	"github.com/currantturn/currantturn/internal/state/record"
 	. "github.com/onsi/ginkgo/v2"
@@ -147,6 +149,26 @@
 	})
 })
 
+var _ = Describe("messages", func() {
+	It("fit a datagram with the largest answer that a record keeps", func() {
+		far := netip.MustParseAddrPort("[2001:db8:aaaa:bbbb:cccc:dddd:eeee:ffff]:65535")
+		id := claim.Attempt{Runner: far, Incarnation: 1 << 63, Number: 1 << 63}
+		answer := &request.Answer{
+			Status: 200, Length: 1 << 40, Kept: true, Body: make([]byte, request.MaxInlineBytes),
+			Header: [][2]string{{"Content-Type", strings.Repeat("x", 120)}, {"Location", strings.Repeat("y", 116)}},
+		}
+		for _, m := range []currantturn.Message{
+			claim.Verdict{State: claim.Unknown, Attempt: id, Version: 1 << 63, Answer: answer},
+			claim.Report{State: claim.Unknown, Attempt: id, Answer: answer},
+			claim.Inquired{State: claim.Unknown, Version: 1 << 63, Answer: answer},
+		} {
+			p, err := message.Encode(m)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(message.Decode(p)).To(Equal(m))
+		}
+	})
+})
+
 var _ = Describe("runner", func() {
 	It("asks a silent owner nothing new for a while", func() {
 		t := newTrio(record.DefaultBytes)
--- a/internal/transport/request/exchange.go
+++ b/internal/transport/request/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/admission"
 	"github.com/currantturn/currantturn/internal/coordination/claim"
+	"github.com/currantturn/currantturn/internal/event"
 	protocol "github.com/currantturn/currantturn/internal/protocol/request"
 )
 
@@ -34,9 +35,25 @@
 		key = x.params.Key.String()
 	}
 	x.h.counts.add(o)
+	x.report(o, key, reason)
 	protocol.Write(x.w, o, key, reason, after)
 }
 
+// report emits the event of an outcome.
+func (x *exchange) report(o protocol.Outcome, key, reason string) {
+	x.h.decide(func(_ time.Time, out *currantturn.Effects) {
+		who, service := event.F("request", key), event.F("service", string(x.h.opts.Service))
+		switch o {
+		case protocol.NotRun, protocol.NotAccepted:
+			out.Event(event.RequestShed, who, service)
+		case protocol.PastDeadline:
+			out.Event(event.RequestExpired, who, service, event.F("stage", reason))
+		case protocol.Unknown:
+			out.Event(event.OutcomeUnknown, who, service, event.F("reason", reason))
+		}
+	})
+}
+
 // buffer reads the body, which is part of the claim.
 func (x *exchange) buffer() bool {
 	limit := int64(x.h.opts.BodyBytes)
--- a/internal/transport/request/peer.go
+++ b/internal/transport/request/peer.go
@@ -9,8 +9,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"time"
 
+	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/admission"
+	"github.com/currantturn/currantturn/internal/event"
 	protocol "github.com/currantturn/currantturn/internal/protocol/request"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -24,6 +27,9 @@
 	if !ok {
 		return false
 	}
+	x.h.decide(func(_ time.Time, out *currantturn.Effects) {
+		out.Event(event.RequestSpilled, event.F("service", string(x.h.opts.Service)), event.F("peer", string(peer.ID)))
+	})
 	res, sent, err := x.callPeer(peer)
 	if err == nil {
 		defer func() { _ = res.Body.Close() }()
--- a/internal/transport/request/plain.go
+++ b/internal/transport/request/plain.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/admission"
+	"github.com/currantturn/currantturn/internal/event"
 	protocol "github.com/currantturn/currantturn/internal/protocol/request"
 )
 
@@ -70,6 +72,9 @@
 		delay, ok := x.h.budget.Retry(x.h.opts.Clock(), x.deadline, n, 0)
 		if !ok {
 			x.h.counts.suppressed.Add(1)
+			x.h.decide(func(_ time.Time, out *currantturn.Effects) {
+				out.Event(event.RetryBudgetExhausted, event.F("service", string(x.h.opts.Service)))
+			})
 			return res, err
 		}
 		if res != nil {
