--- a/internal/coordination/agent/constants.go
+++ b/internal/coordination/agent/constants.go
@@ -16,9 +16,6 @@
 	// GuardWindow is how long after a change of homes an opening packet is
 	// looked for at its earlier homes.
 	GuardWindow = 10 * time.Second
-	// DeadGrace is how long packets still go to a holder that was declared dead,
-	// because it may only be paused.
-	DeadGrace = 3 * time.Second
 	// SearchDeadline ends a search whose last answers are missing.
 	SearchDeadline = 3 * time.Second
 	// AnnounceTimeout is how long an announcement may stay unacknowledged.
--- a/internal/coordination/agent/search.go
+++ b/internal/coordination/agent/search.go
@@ -192,6 +192,8 @@
 			out.Event(event.FlowAdopted, event.F("flow", d.env.Packet.Flow), event.F("service", a.opts.Service),
 				event.F("backend", a.opts.ID))
 			a.place(d)
+		case a.members.Parted():
+			a.reject(d, "holder may be beyond a partition")
 		default:
 			a.reject(d, "flow is unknown to every agent")
 			if r = a.record(d); r != nil {
@@ -237,7 +239,7 @@
 func (a *Agent) handleQuery(now time.Time, from netip.AddrPort, q Query, out *currantturn.Effects) {
 	key, ok := flow.ParseKey(q.Key)
 	p := a.plan.Load()
-	if !ok || p == nil || p.service.Backend(q.From) == nil {
+	if !ok || (p != nil && p.service.Backend(q.From) == nil) {
 		return
 	}
 	hash := a.opts.Key.Flow(key.Flow())
--- a/internal/core/balancer.go
+++ b/internal/core/balancer.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/balancer"
-	"github.com/currantturn/currantturn/internal/transport/link"
 )
 
-// linkReaders is how many goroutines read the link's socket.
-const linkReaders = 2
-
 // BalancerOptions are the parts of a balancer process.
 type BalancerOptions struct {
 	Name      currantturn.VMName
@@ -23,40 +20,46 @@
 	Sealer    currantturn.Sealer
 	Secrets   Secrets
 	Seed      uint64 // of random choices
+	Hints     int    // bound of the hint cache; 0 takes its default
+	Feed      FeedOptions
 	Clock     func() time.Time
 	Report    func(currantturn.Event)
 }
 
 // Balancer is a running balancer process.
 type Balancer struct {
-	node   *node
-	entry  currantturn.Entry
-	cancel context.CancelFunc
-	done   chan struct{}
+	node     *node
+	entry    currantturn.Entry
+	machine  *balancer.Balancer
+	feed     *feed // nil when configured by Configure alone
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // StartBalancer binds the sockets and starts a balancer.
 func StartBalancer(opts BalancerOptions) (*Balancer, error) {
-	n := newNode(opts.Clock, opts.Report)
-	n.entry = opts.Entry
-	l, err := link.Open(link.Options{
-		Listen: opts.Link, Advertise: opts.Advertise, Sealer: opts.Sealer, Names: n.names, Clock: opts.Clock,
-	})
+	n, err := openNode(opts.Link, opts.Advertise, opts.Sealer, opts.Clock, opts.Report)
 	if err != nil {
 		return nil, err
 	}
-	n.link = l
-	n.router = balancer.New(balancer.Options{
-		Self:    l.Self(),
+	n.entry = opts.Entry
+	machine := balancer.New(balancer.Options{
+		Self:    n.link.Self(),
 		Key:     opts.Secrets.Rank,
 		Seed:    opts.Seed,
 		ConnIDs: opts.Secrets.ConnIDs,
+		Hints:   opts.Hints,
 	})
-	n.add(n.router, balancer.Kinds()...)
+	n.router = machine
+	n.add(machine, balancer.Kinds()...)
+	b := &Balancer{node: n, entry: opts.Entry, machine: machine, done: make(chan struct{})}
+	if opts.Feed.Platform != nil {
+		b.feed = n.follow(opts.Feed, opts.Domain, opts.Seed, machine)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &Balancer{node: n, entry: opts.Entry, cancel: cancel, done: make(chan struct{})}
-	l.Start(n, linkReaders)
-	go n.tick(ctx)
+	b.cancel = cancel
+	n.start(ctx)
 	go b.serve()
 	return b, nil
 }
@@ -74,6 +77,7 @@
 // Close stops at once.
 func (b *Balancer) Close() error {
 	b.cancel()
+	b.feed.close()
 	err := b.entry.Close()
 	<-b.done
 	if e := b.node.link.Close(); err == nil {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -27,13 +27,23 @@
 	all      []currantturn.Machine
 	entry    currantturn.Entry         // nil at an agent
 	deliver  func(*currantturn.Packet) // nil at a balancer
+	read     func(currantturn.Read)    // nil without a feed
+	inForce  func(time.Time, *currantturn.View)
 	report   func(currantturn.Event)
-	view     atomic.Pointer[currantturn.View]
-	known    atomic.Pointer[names]
-	effects  sync.Pool
+	// configuring puts versions in force one after another, never a lower one.
+	configuring sync.Mutex
+	view        atomic.Pointer[currantturn.View]
+	known       atomic.Pointer[names]
+	effects     sync.Pool
 }
 
-func newNode(clock func() time.Time, report func(currantturn.Event)) *node {
+// linkReaders is how many goroutines read the link's socket.
+const linkReaders = 2
+
+// openNode binds the link; start lets it read.
+func openNode(
+	listen, advertise netip.AddrPort, sealer currantturn.Sealer, clock func() time.Time, report func(currantturn.Event),
+) (*node, error) {
 	n := &node{
 		clock:    clock,
 		report:   report,
@@ -41,7 +51,17 @@
 		effects:  sync.Pool{New: func() any { return new(currantturn.Effects) }},
 	}
 	n.known.Store(newNames(currantturn.NewView(0, nil)))
-	return n
+	l, err := link.Open(link.Options{
+		Listen: listen, Advertise: advertise, Sealer: sealer, Names: n.names, Clock: clock,
+	})
+	n.link = l
+	return n, err
+}
+
+// start reads the link and calls the machines until the context ends.
+func (n *node) start(ctx context.Context) {
+	n.link.Start(n, linkReaders)
+	go n.tick(ctx)
 }
 
 // add registers a machine and the message kinds that it handles.
@@ -83,9 +103,15 @@
 	for _, peer := range out.Renews {
 		_ = n.link.Renew(peer)
 	}
+	for _, r := range out.Reads {
+		n.read(r)
+	}
 	for _, e := range out.Events {
 		n.report(e)
 	}
+	for _, v := range out.InForce {
+		n.configure(v)
+	}
 }
 
 // ReceiveEnvelope takes an enveloped packet off the link.
@@ -109,11 +135,19 @@
 
 // configure puts a configuration in force in every machine.
 func (n *node) configure(v *currantturn.View) {
+	n.configuring.Lock()
+	defer n.configuring.Unlock()
+	if old := n.view.Load(); old != nil && v.Version <= old.Version {
+		return
+	}
 	n.view.Store(v)
 	n.known.Store(newNames(v))
 	for _, m := range n.all {
 		n.decide(func(now time.Time, out *currantturn.Effects) { m.Configure(now, v, out) })
 	}
+	if n.inForce != nil {
+		n.inForce(n.clock(), v)
+	}
 }
 
 // tick calls the machines until the context ends.
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -33,10 +33,12 @@
 		key("read_timeout", "5s", "Timeout of a read, in addition to the wait of a watch.",
 			durations(100*time.Millisecond, time.Minute),
 			func(o *Options) *time.Duration { return &o.Platform.ReadTimeout }),
-		key("watch_wait", "30s", "How long one watch waits for a new record.",
-			durations(time.Second, 5*time.Minute), func(o *Options) *time.Duration { return &o.Platform.WatchWait }),
 		key("read_budget_per_second", "0.1", "Mean rate of reads and watches that this process may spend.",
 			rates("reads/s", 0.01, 100), func(o *Options) *float64 { return &o.Platform.ReadBudgetPerSecond }),
+		key("peers", "", "Link addresses of processes that are asked while the platform does not answer.",
+			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Platform.Peers }),
+		key("fleet_size", "64", "Processes that the fleet is expected to have until a configuration tells.",
+			counts("processes", 1, 100_000), func(o *Options) *int { return &o.Platform.FleetSize }),
 	)
 }
 
@@ -55,8 +57,8 @@
 		"entry", currantturn.RoleBalancer,
 		key("kind", "direct", "How the fabric hands packets over: as they are, or behind a PROXY protocol v2 header.",
 			choices(EntryDirect, EntryProxy), func(o *Options) *EntryKind { return &o.Entry.Kind }),
-		key("addresses", "", "UDP addresses that callers' packets arrive at.",
-			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Entry.Addresses }).required(),
+		key("addresses", "", "UDP addresses that callers' packets arrive at; without them a direct entry follows the configuration.",
+			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Entry.Addresses }),
 		key("fabric_answer_address", "", "Where the fabric takes answers; required by kind proxy.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Entry.FabricAnswerAddress }),
 	)
@@ -73,7 +75,7 @@
 			files(), func(o *Options) *string { return &o.Trust.KeyFile }).required(),
 		key("datagram_key_file", "", "Key ring of the datagrams between processes: INI, section [keys], at most two IDs with 32 bytes in hexadecimal each, and active = the ID that seals.",
 			files(), func(o *Options) *string { return &o.Trust.DatagramKeyFile }).required(),
-		key("hash_key_file", "", "Secret of at least 32 bytes, the same on the whole fleet, from which the keys of ranking, connection IDs and resets derive.",
+		key("hash_key_file", "", "Secret of at least 32 bytes in hexadecimal, the same on the whole fleet, from which the keys of ranking, connection IDs and resets derive.",
 			files(), func(o *Options) *string { return &o.Trust.HashKeyFile }).required(),
 		key("reload_every", "1m", "How often the files of this section are read again.",
 			durations(time.Second, 24*time.Hour), func(o *Options) *time.Duration { return &o.Trust.ReloadEvery }),
@@ -130,8 +132,6 @@
 			sizes(64*kibibyte, 1024*mebibyte), func(o *Options) *int64 { return &o.Requests.RecordStoreBytes }),
 		key("clock_skew", "1s", "How far two clocks of callers and processes may differ.",
 			durations(0, time.Minute), func(o *Options) *time.Duration { return &o.Requests.ClockSkew }),
-		key("queue", "64", "Requests that wait for a slot at most, where the configuration sets no limit.",
-			counts("requests", 0, 65536), func(o *Options) *int { return &o.Requests.Queue }),
 		key("watches_max", "4096", "Answers without end, which take no slot, at most.",
 			counts("answers", 0, 1<<20), func(o *Options) *int { return &o.Requests.WatchesMax }),
 		key("cold_start", "10s", "How long a started backend server ramps up to all its slots.",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,10 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +99,19 @@
 		Expect(err.Error()).To(HavePrefix("testdata/absent.ini: "))
 	})
 
+	It("refuses a list above its bound", func() {
+		list := "urls = " + strings.Repeat("x,", 1024)
+		_, err := load(strings.Replace(string(agent), "urls = ", list, 1))
+		Expect(err).To(MatchError("testdata/x.ini: [platform] urls: 1025 entries are more than 1024"))
+	})
+
+	It("refuses a settings file above its bound", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "large.ini")
+		Expect(os.WriteFile(path, append(balancer, make([]byte, 256<<10)...), 0o600)).To(Succeed())
+		_, err := settings.Load(path)
+		Expect(err).To(MatchError(ContainSubstring("input too large")))
+	})
+
 	DescribeTable("reports one more line as one problem",
 		func(file *[]byte, line, problem string) {
 			_, err := load(string(*file) + line)
@@ -105,7 +122,7 @@
 		},
 		Entry("unknown section", &balancer, "\n[flow]", "[flow]: unknown section"),
 		Entry("unknown key", &balancer, "\n[flows]\ncolour = red", "[flows] colour: unknown key"),
-		Entry("key of the other role", &balancer, "\n[requests]\nqueue = 1", "[requests] queue: does not apply to the role balancer"),
+		Entry("key of the other role", &balancer, "\n[requests]\nwatches_max = 1", "[requests] watches_max: does not apply to the role balancer"),
 		Entry("repeated key", &agent, "\n[requests]\nretention = 1m\nretention = 2m", "[requests] retention: given more than once"),
 		Entry("duration below its range", &agent, "\n[flows]\nidle_timeout = 1s", "[flows] idle_timeout: 1s is out of range (10s to 24h)"),
 		Entry("no duration", &agent, "\n[flows]\nidle_timeout = 10", `[flows] idle_timeout: "10" is not a duration such as 500ms or 30s`),
@@ -116,10 +133,33 @@
 		Entry("bare key", &balancer, "\n[log]\nlevel", "[log] level: has no value"),
 		Entry("missing file", &balancer, "\n[admin]\nca_file = absent", "[admin] ca_file: stat testdata/absent: no such file or directory"),
 		Entry("directory for a file", &balancer, "\n[admin]\nca_file = .", "[admin] ca_file: testdata is not a regular file of 1 byte to 1MiB"),
+		Entry("empty file", &balancer, "\n[admin]\nca_file = empty.pem", "[admin] ca_file: testdata/empty.pem is not a regular file of 1 byte to 1MiB"),
 		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
 	)
 
+	It("has no key that the program does not read", func() {
+		paths, err := filepath.Glob("../[cp]*/*.go") // command and process
+		Expect(err).NotTo(HaveOccurred())
+		var files []string
+		for _, path := range paths {
+			text, err := os.ReadFile(path)
+			Expect(err).NotTo(HaveOccurred())
+			files = append(files, string(text))
+		}
+		sections := reflect.TypeFor[settings.Options]()
+		for i := range sections.NumField() {
+			section := sections.Field(i)
+			for j := range section.Type.NumField() {
+				field := section.Type.Field(j).Name
+				read := slices.ContainsFunc(files, func(text string) bool {
+					return strings.Contains(text, "."+section.Name) && regexp.MustCompile(`\.`+field+`\b`).MatchString(text)
+				})
+				Expect(read).To(BeTrue(), section.Name+"."+field)
+			}
+		}
+	})
+
 	It("has defaults that parse, for both roles", func() {
 		for _, r := range []currantturn.Role{currantturn.RoleBalancer, currantturn.RoleAgent} {
 			Expect(func() { settings.Default(r) }).NotTo(Panic())
