--- a/internal/admin/resource.go
+++ b/internal/admin/resource.go
@@ -28,11 +28,12 @@
 
 // Configuration says which version is in force here.
 type Configuration struct {
-	Version      currantturn.Version `json:"version"`
-	HighestHeard currantturn.Version `json:"highest_heard"`
-	Digest       string              `json:"digest"`
-	InForce      time.Time           `json:"in_force,omitzero"`
-	LastRead     time.Time           `json:"last_read,omitzero"` // of the platform, or of a peer's records
+	Version       currantturn.Version `json:"version"`
+	Position      uint64              `json:"position"`       // of the newest record folded here
+	HeardPosition uint64              `json:"heard_position"` // highest that anyone told of
+	Digest        string              `json:"digest"`
+	InForce       time.Time           `json:"in_force,omitzero"`
+	LastRead      time.Time           `json:"last_read,omitzero"` // of the platform, or of a peer's records
 }
 
 // Requests is the work of an agent.
@@ -71,14 +72,6 @@
 	Flows   int                     `json:"flows"`
 }
 
-// DryRun is the verdict that a patch would get.
-type DryRun struct {
-	Accepted bool                `json:"accepted"`
-	Version  currantturn.Version `json:"version,omitempty"`
-	Reason   string              `json:"reason,omitempty"`
-	Changes  []string            `json:"changes,omitempty"`
-}
-
 // Providers read the state of the process; a nil one is answered by 501.
 type Providers struct {
 	Status   func() Status
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,6 +10,9 @@
 	if o.Entry.Kind == EntryProxy && !o.Entry.FabricAnswerAddress.IsValid() && !r.has("entry", "fabric_answer_address") {
 		r.report("entry", "fabric_answer_address", "missing; kind proxy needs it")
 	}
+	if o.Entry.Kind == EntryProxy && !r.has("entry", "addresses") {
+		r.report("entry", "addresses", "missing; kind proxy needs at least one")
+	}
 	r.checkAdmin(o)
 }
 
