--- a/internal/coordination/affinity/world_test.go
+++ b/internal/coordination/affinity/world_test.go
@@ -86,7 +86,9 @@
 	flows     map[currantturn.FlowKey]*session
 	order     []*session
 	report    report
-	apart     bool // a partition outlasted the time to a verdict of death
+	sent      func(to *node) // called for opening packets on their way
+	sticky    bool           // the fabric gives each flow to one balancer
+	apart     bool           // a partition outlasted the time to a verdict of death
 	vms       []currantturn.VM
 }
 
@@ -150,7 +152,7 @@
 	s.Backends = append(s.Backends, currantturn.BackendServer{
 		ID: id, Agent: at, Slots: slots, Weight: weight, State: currantturn.BackendActive,
 	})
-	n := &node{at: at, backend: &host{id: id, service: s.Name, index: service, sessions: make(map[currantturn.FlowKey]*session)}}
+	n := &node{at: at, backend: &host{id: id, service: s.Name, index: service, slots: slots, sessions: make(map[currantturn.FlowKey]*session)}}
 	w.nodes[at] = n
 	w.agents = append(w.agents, n)
 	w.boot(n)
@@ -295,6 +297,9 @@
 // send carries an envelope or a message between two nodes.
 func (w *world) send(n *node, to netip.AddrPort, e currantturn.Envelope, m currantturn.Message) {
 	peer := w.nodes[to]
+	if m == nil && w.sent != nil && e.Packet.Mark == currantturn.MarkOpening && e.Direction == currantturn.ToBackend {
+		w.sent(peer)
+	}
 	if peer == nil || n.group != peer.group || w.silent[[2]netip.AddrPort{n.at, to}] {
 		return
 	}
