Tell an owner that waits from a silent one, and let a gate keep leaving

An owner that waits for an earlier one sent nothing, so its runners took it for silent and refused its other keys for a second at a time; it now says so. A new configuration took Gate.Drain back; leaving is a state of its own now. A version that was left out is reported, because earlier owners are derived from the versions in order.

--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -174,6 +174,20 @@
 	})
 })
 
+var _ = Describe("a leaving gate", func() {
+	It("stays so through a new configuration, until it is taken back", func() {
+		v := view(5, currantturn.BackendActive)
+		g := newGate(v)
+		g.SetLeaving(true)
+		g.Configure(epoch, v, &currantturn.Effects{})
+		_, d := g.Watch()
+		Expect(d).To(Equal(admission.Shed))
+		g.SetLeaving(false)
+		_, d = g.Watch()
+		Expect(d).To(Equal(admission.Admit))
+	})
+})
+
 var _ = Describe("retry budget", func() {
 	It("pays a tenth of the successes and never waits past the deadline", func() {
 		b := admission.NewBudget(rand.New(rand.NewPCG(1, 1)))
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -44,19 +44,20 @@
 
 // Gate admits requests to the slots of one backend server.
 type Gate struct {
-	opts     Options
-	mu       sync.Mutex
-	slots    int
-	limit    int // of the queue
-	longest  int // what was queued when the limit was last lowered
-	draining bool
-	warm     time.Time // since when the backend server ramps up
-	running  int
-	watches  int
-	queue    []*Ticket
-	service  estimate
-	peers    peers
-	counts   Counters
+	opts    Options
+	mu      sync.Mutex
+	slots   int
+	limit   int       // of the queue
+	longest int       // what was queued when the limit was last lowered
+	removed bool      // by the configuration: draining or not a member
+	leaving bool      // by this process
+	warm    time.Time // since when the backend server ramps up
+	running int
+	watches int
+	queue   []*Ticket
+	service estimate
+	peers   peers
+	counts  Counters
 }
 
 // Counters are a gate's totals since its start.
@@ -83,7 +84,7 @@
 		return
 	}
 	b := s.Backend(g.opts.ID)
-	g.draining = b == nil || b.State == currantturn.BackendDraining
+	g.removed = b == nil || b.State == currantturn.BackendDraining
 	if b != nil && b.Slots > 0 {
 		g.slots = b.Slots
 	}
@@ -97,9 +98,18 @@
 
 // Drain sends all new requests elsewhere; those admitted or queued go on.
 func (g *Gate) Drain() {
+	g.SetLeaving(true)
+}
+
+// SetLeaving does what Drain does, or takes it back.
+func (g *Gate) SetLeaving(leaving bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
+	g.leaving = leaving
+}
+
+func (g *Gate) draining() bool {
+	return g.removed || g.leaving
 }
 
 // Restarted tells that the backend server starts cold.
@@ -128,7 +138,7 @@
 	case !now.Before(deadline):
 		g.counts.Expired++
 		return nil, Expire, 0
-	case g.draining:
+	case g.draining():
 		g.counts.Shed++
 		return nil, Shed, 0
 	case len(g.queue) == 0 && g.running < g.allowed(now):
@@ -160,7 +170,7 @@
 func (g *Gate) Watch() (*Ticket, Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining || g.watches >= g.opts.Watches {
+	if g.draining() || g.watches >= g.opts.Watches {
 		g.counts.Shed++
 		return nil, Shed
 	}
--- a/internal/coordination/admission/peer.go
+++ b/internal/coordination/admission/peer.go
@@ -95,11 +95,11 @@
 func (g *Gate) Spill(now time.Time, watch bool) (Peer, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.draining && (watch || len(g.queue) == 0 && g.running < g.allowed(now)) {
+	if !g.draining() && (watch || len(g.queue) == 0 && g.running < g.allowed(now)) {
 		return Peer{}, false
 	}
 	p := g.peers.pick(now, g.opts.Rand)
-	if p == nil && g.draining && len(g.peers.known) > 0 {
+	if p == nil && g.draining() && len(g.peers.known) > 0 {
 		p = &g.peers.known[g.opts.Rand.IntN(len(g.peers.known))]
 	}
 	if p == nil {
--- a/internal/coordination/claim/claims.go
+++ b/internal/coordination/claim/claims.go
@@ -1,12 +1,14 @@
 package claim
 
 import (
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/request"
 )
 
@@ -41,12 +43,21 @@
 
 // Configure puts a newer configuration in force. Every accepted version has to
 // be given in order, because earlier owners are derived from them.
-func (c *Claims) Configure(_ time.Time, v *currantturn.View, _ *currantturn.Effects) {
+func (c *Claims) Configure(_ time.Time, v *currantturn.View, out *currantturn.Effects) {
 	for {
 		h := c.history.Load()
-		if v.Version <= h.version || c.history.CompareAndSwap(h, h.next(v, c.opts.Service)) {
+		if v.Version <= h.version {
 			return
 		}
+		if !c.history.CompareAndSwap(h, h.next(v, c.opts.Service)) {
+			continue
+		}
+		if h.version > 0 && v.Version != h.version+1 {
+			c.owner.counts.violations.Add(1)
+			out.Event(event.InvariantViolated, event.F("invariant", "versions_in_order"),
+				event.F("detail", fmt.Sprintf("%d follows %d", v.Version, h.version)))
+		}
+		return
 	}
 }
 
--- a/internal/coordination/claim/message.go
+++ b/internal/coordination/claim/message.go
@@ -38,6 +38,7 @@
 	TooOld   State = "too_old"         // past retention
 	Reused   State = "key_reused"      // came earlier with other content
 	Early    State = "issued_ahead"    // issued ahead of the owner's clock
+	Asking   State = "asking"          // the owner waits for earlier owners
 	Silent   State = "owner_silent"    // the owner was not asked, because it is silent
 	NotOwner State = "not_owner"       // the receiver's configuration names another owner
 	Absent   State = "absent"          // never granted here, and now fenced
--- a/internal/coordination/claim/owner.go
+++ b/internal/coordination/claim/owner.go
@@ -175,7 +175,9 @@
 	switch r.phase {
 	case asking:
 		r.await(a, m.Close)
-		o.inquireAll(m.Key, r, out)
+		if o.inquireAll(m.Key, r, out) {
+			o.tell(a.Runner, m.Key, a, Asking, nil, out)
+		}
 		o.settle(s, m.Key, r, out)
 	case granted:
 		o.attendGranted(s, m, r, out)
@@ -228,16 +230,18 @@
 	return Unknown
 }
 
-// inquireAll asks the earlier owners that have not settled the key.
-func (o *owner) inquireAll(k request.Key, r *claimRecord, out *currantturn.Effects) {
+// inquireAll asks the earlier owners that have not settled the key, if any.
+func (o *owner) inquireAll(k request.Key, r *claimRecord, out *currantturn.Effects) (asked bool) {
 	for i := range r.question {
 		q := &r.question[i]
 		if q.state == Absent || q.state == Refused {
 			continue
 		}
 		q.state = ""
+		asked = true
 		out.Send(q.to, Inquire{Key: k, Version: r.version})
 	}
+	return asked
 }
 
 // settle decides on an asking record once every earlier owner has answered.
--- a/internal/coordination/claim/runner.go
+++ b/internal/coordination/claim/runner.go
@@ -27,7 +27,8 @@
 	deadline time.Time
 	decided  func(Verdict)
 	owner    netip.AddrPort // who was asked last, or has granted
-	heard    time.Time      // when the owner last answered
+	heard    time.Time      // when the owner last said that the key is in progress
+	answered bool           // the owner has answered at all
 	next     time.Time      // when to send again
 	delay    time.Duration
 	report   Report
@@ -138,9 +139,11 @@
 
 func (r *runner) decide(now time.Time, from netip.AddrPort, s *runnerShard, a *attempt, m Verdict) {
 	switch m.State {
-	case NotOwner:
+	case NotOwner, Asking:
+		a.answered = true
 		return
 	case Pending:
+		a.answered = true
 		a.heard = now
 		return
 	case Granted:
@@ -274,7 +277,7 @@
 	case waiting:
 		if !now.Before(a.deadline) || now.Sub(a.heard) >= ownerSilence {
 			r.unanswered.Add(1)
-			if now.Sub(a.heard) >= ownerSilence {
+			if !a.answered && now.Sub(a.heard) >= ownerSilence {
 				r.silent.suspect(a.owner, now.Add(silentFor))
 			}
 			r.remove(s, number)
