--- a/internal/coordination/admission/spill_test.go
+++ b/internal/coordination/admission/spill_test.go
@@ -20,13 +20,13 @@
 
 // service is seven gates of three slots with peers' loads told now and then.
 type service struct {
-	w        *world
-	gates    []*admission.Gate
-	first    bool // pass to a peer before queueing, else only instead of a refusal
-	passes   bool
-	times    []time.Duration
-	refused  int
-	uneven   float64 // share of all requests that come in at the first gate
+	w       *world
+	gates   []*admission.Gate
+	first   bool // pass to a peer before queueing, else only instead of a refusal
+	passes  bool
+	times   []time.Duration
+	refused int
+	uneven  float64 // share of all requests that come in at the first gate
 }
 
 func (s *service) clock() time.Time { return epoch.Add(s.w.now) }
