Refuse requests that a peer of another service passes; let a planned stop wait for watches

A stale configuration could name a stream address that now belongs to another service. A shutdown_grace of 30 s cut watches that a planned stop must not cut.

--- a/internal/protocol/request/constants.go
+++ b/internal/protocol/request/constants.go
@@ -9,8 +9,9 @@
 	HeaderIdempotent = "Request-Idempotent" // ?1 or ?0
 	HeaderWatch      = "Request-Watch"      // ?1 marks an answer without end
 	HeaderOutcome    = "Request-Outcome"
-	HeaderRetryAfter = "Retry-After" // seconds
-	HeaderDigest     = "Repr-Digest" // trailer of an answer without a length
+	HeaderRetryAfter = "Retry-After"     // seconds
+	HeaderService    = "Request-Service" // between agents: whose request it is
+	HeaderDigest     = "Repr-Digest"     // trailer of an answer without a length
 )
 
 const (
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -20,8 +20,8 @@
 		key("failure_domain", "", "Set of machines that this one fails with.",
 			names[currantturn.FailureDomain](),
 			func(o *Options) *currantturn.FailureDomain { return &o.Process.FailureDomain }).required(),
-		key("shutdown_grace", "30s", "How long a planned stop waits for work in progress.",
-			durations(0, time.Hour), func(o *Options) *time.Duration { return &o.Process.ShutdownGrace }),
+		key("shutdown_grace", "24h", "How long a planned stop waits for work in progress, watches included; a second signal ends it.",
+			durations(0, 7*24*time.Hour), func(o *Options) *time.Duration { return &o.Process.ShutdownGrace }),
 	)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -81,7 +81,7 @@
 		Expect(o.Platform.URLs).To(HaveLen(2))
 		Expect(o.Link.AdvertisedAddress).To(Equal(o.Link.Address))
 		Expect(o.Trust.CAFile).To(Equal("testdata/file.pem"))
-		Expect(o.Process.ShutdownGrace).To(Equal(30 * time.Second))
+		Expect(o.Process.ShutdownGrace).To(Equal(24 * time.Hour))
 		Expect(o.Flows.HintCacheSize).To(Equal(131072))
 	})
 
--- a/internal/transport/request/backend.go
+++ b/internal/transport/request/backend.go
@@ -70,6 +70,10 @@
 		return nil, err
 	}
 	passOn(out.Header, x.r.Header)
+	out.Header.Del(protocol.HeaderService)
+	if via == x.h.peers {
+		out.Header.Set(protocol.HeaderService, string(x.h.opts.Service))
+	}
 	out.Host = x.r.Host
 	out.ContentLength = length
 	out.Header.Set(protocol.HeaderTimeout, protocol.FormatTimeout(left))
--- a/internal/transport/request/counters.go
+++ b/internal/transport/request/counters.go
@@ -8,7 +8,7 @@
 
 type counts struct {
 	answered, notRun, pastDeadline, unknown, other atomic.Uint64
-	repeated, cut, retries, suppressed             atomic.Uint64
+	repeated, cut, retries, suppressed, foreign    atomic.Uint64
 }
 
 // Counters are a handler's totals since its start, by outcome and cause.
@@ -22,6 +22,7 @@
 	Cut          uint64 `json:"cut"`             // answers cut off by the backend server, a peer or the caller
 	Retries      uint64 `json:"retries"`         // retries of idempotent requests
 	Suppressed   uint64 `json:"suppressed"`      // retries that the budget did not allow
+	Foreign      uint64 `json:"foreign_service"` // requests of another service, passed here by mistake
 	HeldBytes    int64  `json:"held_bytes"`      // bytes of request bodies held at present
 }
 
@@ -53,6 +54,7 @@
 		Cut:          c.cut.Load(),
 		Retries:      c.retries.Load(),
 		Suppressed:   c.suppressed.Load(),
+		Foreign:      c.foreign.Load(),
 		HeldBytes:    h.held.Load(),
 	}
 }
--- a/internal/transport/request/handler.go
+++ b/internal/transport/request/handler.go
@@ -72,9 +72,17 @@
 	h.serve(w, r, h.peers != nil)
 }
 
-// Peer serves requests that a peer has passed here; they go no further.
+// Peer serves requests that a peer has passed here; they go no further. A peer
+// with a stale configuration may take this process for one of its own service.
 func (h *Handler) Peer() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, false) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(protocol.HeaderService) != string(h.opts.Service) {
+			h.counts.foreign.Add(1)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		h.serve(w, r, false)
+	})
 }
 
 // Settle waits until the owners have confirmed how every request here ended.
--- a/internal/transport/request/handler_test.go
+++ b/internal/transport/request/handler_test.go
@@ -106,7 +106,7 @@
 	}
 	view := currantturn.NewView(1, []currantturn.Service{service})
 	for _, a := range b.agents {
-		a.claims.Configure(time.Now(), view, &currantturn.Effects{})
+		a.claims.Configure(time.Now().Add(-time.Minute), view, &currantturn.Effects{})
 		a.gate.Configure(time.Now(), view, &currantturn.Effects{})
 	}
 	tr := &http3.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
@@ -310,6 +310,17 @@
 		Entry("of a claimed request", protocol.HeaderKey, SpecTimeout(10*time.Second)),
 	)
 
+	It("runs nothing that a peer of another service passes here", func(ctx SpecContext) {
+		b := newBench(1, 1)
+		r := httptest.NewRequest(http.MethodGet, "/check", nil)
+		r.Header.Set(protocol.HeaderService, "reports")
+		w := httptest.NewRecorder()
+		b.agents[0].handler.Peer().ServeHTTP(w, r)
+		Expect(w.Code).To(Equal(http.StatusMisdirectedRequest))
+		Expect(b.agents[0].runs.Load()).To(BeZero())
+		Expect(b.agents[0].handler.Counters().Foreign).To(Equal(uint64(1)))
+	})
+
 	It("tells not run when the backend server cannot be reached", func(ctx SpecContext) {
 		b := newBench(1, 1)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/request/peer.go
+++ b/internal/transport/request/peer.go
@@ -20,6 +20,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// errForeignPeer reports a peer that serves another service and ran nothing.
+var errForeignPeer = eris.New("peer serves another service")
+
 // passed hands the request to a peer, if the gate chooses one; it returns
 // false when the request is still to be served here.
 func (x *exchange) passed() bool {
@@ -63,6 +66,10 @@
 		return nil, sent, err
 	}
 	res.Body = &endingBody{ReadCloser: res.Body, end: stop}
+	if res.StatusCode == http.StatusMisdirectedRequest && res.Header.Get(protocol.HeaderOutcome) == "" {
+		_ = res.Body.Close()
+		return nil, false, errForeignPeer
+	}
 	return res, true, nil
 }
 
