Count what entries and callers' connections take and drop

Found by the new tests: a reader of a direct entry ended for good at its first failed read, and oversized datagrams were cut and passed on, so that a caller's damaged packet travelled the whole path. Packets that a full queue drops go back to their pool.

--- a/internal/transport/entry/direct.go
+++ b/internal/transport/entry/direct.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -12,6 +13,7 @@
 // Direct is an entry on a VM that holds the service addresses itself, where
 // the fabric leaves the caller's source address in place.
 type Direct struct {
+	counts
 	mu     sync.RWMutex
 	conns  map[netip.AddrPort]*net.UDPConn
 	take   func(*currantturn.Packet) // nil before Serve
@@ -69,17 +71,25 @@
 }
 
 func (d *Direct) read(service netip.AddrPort, conn *net.UDPConn) {
-	buf := make([]byte, maxDatagramBytes)
+	buf := make([]byte, maxDatagramBytes+1)
 	var p currantturn.Packet
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			d.readErrors.Add(1)
+			continue
+		case n > maxDatagramBytes:
+			d.tooLarge.Add(1)
+			continue
 		}
 		p.Flow.Caller = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		p.Flow.Service = service
 		p.Payload = buf[:n]
 		p.Mark = MarkOf(p.Payload)
+		d.received.Add(1)
 		d.take(&p)
 	}
 }
@@ -102,10 +112,10 @@
 	conn := d.conns[p.Flow.Service]
 	d.mu.RUnlock()
 	if conn == nil {
-		return eris.Wrapf(currantturn.ErrUnavailable, "no socket for service address %s", p.Flow.Service)
+		return d.wrote(eris.Wrapf(currantturn.ErrUnavailable, "no socket for service address %s", p.Flow.Service))
 	}
 	_, err := conn.WriteToUDPAddrPort(p.Payload, p.Flow.Caller)
-	return eris.Wrap(err, "write to the caller")
+	return d.wrote(eris.Wrap(err, "write to the caller"))
 }
 
 // Close ends Serve and closes all sockets.
--- a/internal/transport/entry/proxy.go
+++ b/internal/transport/entry/proxy.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 
 	"github.com/currantturn/currantturn"
 	"github.com/pires/go-proxyproto"
@@ -23,9 +22,9 @@
 
 // Proxy is an entry behind a fabric that prepends PROXY protocol v2 headers.
 type Proxy struct {
-	conns     []*net.UDPConn // one for each listening address, at least one
-	fabric    netip.AddrPort
-	malformed atomic.Uint64
+	counts
+	conns  []*net.UDPConn // one for each listening address, at least one
+	fabric netip.AddrPort
 }
 
 // OpenProxy listens for the fabric's datagrams and sends answers to it.
@@ -74,18 +73,25 @@
 }
 
 func (x *Proxy) read(conn *net.UDPConn, take func(*currantturn.Packet)) {
-	buf := make([]byte, maxDatagramBytes)
+	buf := make([]byte, maxDatagramBytes+1)
 	var p currantturn.Packet
 	for {
 		n, source, err := conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
-		}
-		if err != nil || !x.fromFabric(source) || ParseProxied(buf[:n], &p) != nil {
+		case err != nil:
+			x.readErrors.Add(1)
+		case n > maxDatagramBytes:
+			x.tooLarge.Add(1)
+		case !x.fromFabric(source):
+			x.foreign.Add(1)
+		case ParseProxied(buf[:n], &p) != nil:
 			x.malformed.Add(1)
-			continue
+		default:
+			x.received.Add(1)
+			take(&p)
 		}
-		take(&p)
 	}
 }
 
@@ -94,19 +100,14 @@
 	return source.Addr().Unmap() == x.fabric.Addr().Unmap() && source.Port() == x.fabric.Port()
 }
 
-// Malformed is how many datagrams were refused.
-func (x *Proxy) Malformed() uint64 {
-	return x.malformed.Load()
-}
-
 // Write hands an answer to the fabric.
 func (x *Proxy) Write(p *currantturn.Packet) error {
 	b, err := AppendProxied(make([]byte, 0, maxDatagramBytes), p.Flow.Service, p.Flow.Caller, p.Payload)
 	if err != nil {
-		return err
+		return x.wrote(err)
 	}
 	_, err = x.conns[0].WriteToUDPAddrPort(b, x.fabric)
-	return eris.Wrap(err, "write to the fabric")
+	return x.wrote(eris.Wrap(err, "write to the fabric"))
 }
 
 // Close ends Serve.
--- a/internal/transport/flowconn/conn.go
+++ b/internal/transport/flowconn/conn.go
@@ -32,7 +32,8 @@
 	mu       sync.Mutex
 	deadline time.Time
 	changed  chan struct{} // closed when the deadline changes
-	dropped  atomic.Uint64
+
+	delivered, dropped, answered atomic.Uint64
 }
 
 var packets = sync.Pool{New: func() any { return make([]byte, 0, packetBytes) }}
@@ -53,14 +54,23 @@
 	d := datagram{from: caller, p: append(packets.Get().([]byte)[:0], p...)}
 	select {
 	case c.queue <- d:
+		c.delivered.Add(1)
 	default:
 		c.dropped.Add(1)
+		packets.Put(d.p) //nolint:staticcheck // as below
 	}
 }
 
-// Dropped is how many packets a full queue has cost.
-func (c *Conn) Dropped() uint64 {
-	return c.dropped.Load()
+// Counters are a connection's totals since its start.
+type Counters struct {
+	Delivered uint64 `json:"delivered"` // callers' packets queued for QUIC
+	Dropped   uint64 `json:"dropped"`   // callers' packets dropped because the queue was full
+	Answered  uint64 `json:"answered"`  // packets of QUIC handed on towards callers
+}
+
+// Counters returns the totals so far.
+func (c *Conn) Counters() Counters {
+	return Counters{Delivered: c.delivered.Load(), Dropped: c.dropped.Load(), Answered: c.answered.Load()}
 }
 
 // ReadFrom waits for the next delivered packet.
@@ -113,6 +123,7 @@
 		return 0, net.InvalidAddrError("not a datagram address")
 	}
 	ap := to.AddrPort()
+	c.answered.Add(1)
 	c.write(netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()), p)
 	return len(p), nil
 }
