--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -7,6 +7,8 @@
 	"github.com/currantturn/currantturn/internal/coordination/membership"
 	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/state/configuration"
+	"github.com/currantturn/currantturn/internal/transport/entry"
+	"github.com/currantturn/currantturn/internal/transport/flowconn"
 	"github.com/currantturn/currantturn/pkg/patch"
 )
 
@@ -163,6 +165,19 @@
 	r.Publish("limit", func() any { return a.limiter.Counters() })
 	r.Publish("request", func() any { return a.handler.Counters() })
 	r.Publish("gossip", func() any { return a.feed.counters() })
+	r.Publish("flowconn", func() any { return a.packets() })
+}
+
+// packets sums the counters of the connections towards callers.
+func (a *Agent) packets() flowconn.Counters {
+	var sum flowconn.Counters
+	for _, f := range a.fronts() {
+		c := f.conn.Counters()
+		sum.Delivered += c.Delivered
+		sum.Dropped += c.Dropped
+		sum.Answered += c.Answered
+	}
+	return sum
 }
 
 // Publish makes the balancer's counters readable.
@@ -170,4 +185,7 @@
 	r.Publish("link", func() any { return b.node.link.Counters() })
 	r.Publish("balancer", func() any { return b.machine.Counters() })
 	r.Publish("gossip", func() any { return b.feed.counters() })
+	if e, ok := b.entry.(interface{ Counters() entry.Counters }); ok {
+		r.Publish("entry", func() any { return e.Counters() })
+	}
 }
