--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -134,6 +134,7 @@
 	now    time.Time
 	bytes  int
 	sent   int
+	flows  int
 }
 
 func newGroup(n int) *group {
@@ -172,6 +173,16 @@
 		to.Handle(g.now, from, m, &more)
 		g.carry(s.To, &more)
 	}
+	for i := range out.Forwards {
+		f := &out.Forwards[i]
+		to := g.agents[f.To]
+		if to == nil {
+			continue
+		}
+		var more currantturn.Effects
+		to.Route(g.now, from, &f.Envelope, &more)
+		g.carry(f.To, &more)
+	}
 }
 
 func (g *group) run(d time.Duration) {
@@ -270,3 +281,42 @@
 		})
 	}
 }
+
+// BenchmarkPlacing measures the control messages that a new flow costs the
+// agents of its service, at 10 new flows a second and agent.
+func BenchmarkPlacing(b *testing.B) {
+	const agents, flows = 20, 10
+	g := newGroup(agents)
+	front := balancer.New(balancer.Options{Self: address(1 << 21), Key: key, Hints: 1 << 10})
+	var out currantturn.Effects
+	front.Configure(start, currantturn.NewView(1, services(1, agents)), &out)
+	second := func(n int) {
+		for range 20 {
+			for range n * agents / 20 {
+				g.flows++
+				e := packet(g.flows)
+				var more currantturn.Effects
+				front.Route(g.now, netip.AddrPort{}, &e, &more)
+				g.carry(address(1<<21), &more)
+			}
+			g.run(currantturn.TickEvery)
+		}
+	}
+	for range 60 {
+		second(0)
+	}
+	g.bytes, g.sent = 0, 0
+	for range 20 {
+		second(0)
+	}
+	bytes, sent := float64(g.bytes), float64(g.sent)
+	g.bytes, g.sent = 0, 0
+	for b.Loop() {
+		for range 20 {
+			second(flows)
+		}
+	}
+	n := float64(b.N)
+	b.ReportMetric((float64(g.bytes)-n*bytes)/float64(g.flows), "B/flow")
+	b.ReportMetric((float64(g.sent)-n*sent)/float64(g.flows), "messages/flow")
+}
