--- a/internal/coordination/membership/list.go
+++ b/internal/coordination/membership/list.go
@@ -96,6 +96,7 @@
 	healed    time.Time // when a likely partition ended
 	restarted []currantturn.BackendID
 	counters  Counters
+	ended     bool // after the farewell
 }
 
 // Counters are a list's totals since its start.
