Keep versions in order between decisions, and let an agent come back from a failed health check

Causes: two decisions of the dissemination could carry their versions out in the wrong order, and the earlier one was dropped; a health check that failed once left the gate draining for good.

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -44,13 +44,14 @@
 	f.runner = platform.NewRunner(opts.Platform, f.completed)
 	n.read = f.runner.Do
 	n.inForce = opts.InForce
+	n.ordered = f.machine
 	n.add(f.machine, gossip.Kinds()...)
 	return f
 }
 
 // completed hands the result of a read to the machines that use it.
 func (f *feed) completed(r *currantturn.ReadResult) {
-	f.node.decide(func(now time.Time, out *currantturn.Effects) { f.machine.Completed(now, r, out) })
+	f.node.decideOf(f.machine, func(now time.Time, out *currantturn.Effects) { f.machine.Completed(now, r, out) })
 	if r.Read.Kind != currantturn.ReadVMs || r.Err != nil {
 		return
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -30,6 +30,8 @@
 	read     func(currantturn.Read)    // nil without a feed
 	inForce  func(time.Time, *currantturn.View)
 	report   func(currantturn.Event)
+	ordered  currantturn.Machine // the feed's, nil without one
+	ordering sync.Mutex
 	// configuring puts versions in force one after another, never a lower one.
 	configuring sync.Mutex
 	view        atomic.Pointer[currantturn.View]
@@ -86,6 +88,16 @@
 	n.effects.Put(out)
 }
 
+// decideOf decides for one machine. The feed's effects are carried out in the
+// order of its decisions, so that versions come in force one after another.
+func (n *node) decideOf(m currantturn.Machine, f func(now time.Time, out *currantturn.Effects)) {
+	if m == n.ordered {
+		n.ordering.Lock()
+		defer n.ordering.Unlock()
+	}
+	n.decide(f)
+}
+
 func (n *node) carry(out *currantturn.Effects) {
 	for i := range out.Delivers {
 		n.deliver(&out.Delivers[i])
@@ -125,7 +137,7 @@
 	if machine == nil {
 		return
 	}
-	n.decide(func(now time.Time, out *currantturn.Effects) { machine.Handle(now, from, m, out) })
+	n.decideOf(machine, func(now time.Time, out *currantturn.Effects) { machine.Handle(now, from, m, out) })
 }
 
 // answer sends a packet of the backend side to its caller.
@@ -161,7 +173,7 @@
 		case <-t.C:
 		}
 		for _, m := range n.all {
-			n.decide(m.Tick)
+			n.decideOf(m, m.Tick)
 		}
 	}
 }
--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -53,7 +53,12 @@
 	})
 }
 
+// follow lets the agent leave or come back with its backend server; a planned
+// stop is not taken back.
 func (a *Agent) follow(before, after health.State) {
+	if a.stopping.Load() {
+		return
+	}
 	a.Leave(after != health.Up)
 	if before == health.Down && after == health.Up {
 		a.gate.Restarted(a.opts.Clock())
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -23,14 +23,13 @@
 // requests that it holds go on.
 func (a *Agent) Leave(leaving bool) {
 	a.node.decide(func(now time.Time, out *currantturn.Effects) { a.machine.SetLeaving(now, leaving, out) })
-	if leaving {
-		a.gate.Drain()
-	}
+	a.gate.SetLeaving(leaving)
 }
 
 // Shutdown stops as planned: new work goes to peers, requests in progress end,
 // records are handed over. The end of the context cuts what is left.
 func (a *Agent) Shutdown(ctx context.Context) error {
+	a.stopping.Store(true)
 	a.claims.Stop()
 	a.Leave(true)
 	pause(ctx, partBeforeStop)
