--- a/internal/coordination/membership/list_test.go
+++ b/internal/coordination/membership/list_test.go
@@ -3,18 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
-	"testing"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/membership"
-	"github.com/currantturn/currantturn/internal/suite"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-func TestMembership(t *testing.T) { suite.Run(t, "membership") }
-
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func id(i int) currantturn.BackendID { return currantturn.BackendID(fmt.Sprintf("b%d", i)) }
