--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -116,7 +116,7 @@
 			func(o *Options) *time.Duration { return &o.Flows.IdleTimeout }).only(currantturn.RoleAgent),
 		key("table_size", "262144", "Records of flows that an agent keeps at most.",
 			counts("flows", 1024, 1<<23), func(o *Options) *int { return &o.Flows.TableSize }).only(currantturn.RoleAgent),
-		key("hint_cache_size", "131072", "Hints about the places of flows that a balancer keeps at most.",
+		key("hint_cache_size", "8192", "Hints about the places of flows that a balancer keeps at most.",
 			counts("hints", 1024, 1<<23), func(o *Options) *int { return &o.Flows.HintCacheSize }).only(currantturn.RoleBalancer),
 		key("check_invariants", "false", "Checks the invariants of the tables at run time and reports a broken one as event 108.",
 			booleans(), func(o *Options) *bool { return &o.Flows.CheckInvariants }),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,7 +82,7 @@
 		Expect(o.Link.AdvertisedAddress).To(Equal(o.Link.Address))
 		Expect(o.Trust.CAFile).To(Equal("testdata/file.pem"))
 		Expect(o.Process.ShutdownGrace).To(Equal(24 * time.Hour))
-		Expect(o.Flows.HintCacheSize).To(Equal(131072))
+		Expect(o.Flows.HintCacheSize).To(Equal(8192))
 	})
 
 	It("reads an agent's file into typed options", func() {
