--- a/internal/coordination/claim/claims.go
+++ b/internal/coordination/claim/claims.go
@@ -71,7 +71,7 @@
 // Suspect tells that the process at a link address should be asked nothing
 // new until the given time, because it is leaving or silent.
 func (c *Claims) Suspect(a netip.AddrPort, until time.Time) {
-	c.runner.silent.suspect(a, until)
+	c.runner.silent.suspect(a, suspicion{until: until, told: true})
 }
 
 // Handle takes a message from a peer.
--- a/internal/coordination/claim/owner_test.go
+++ b/internal/coordination/claim/owner_test.go
@@ -179,6 +179,19 @@
 		Expect(states(t.handle(1, 0, t.inquired(9, claim.Absent)))).To(ContainElement(claim.Unknown))
 	})
 
+	It("asks nothing of a process that is known to be stopped, though its last words still arrive", func() {
+		t := newTrio(record.DefaultBytes)
+		t.know(1, 1)
+		t.claims[1].Suspect(t.address[0], t.now.Add(time.Second))
+		t.handle(1, 0, claim.ReportAck{Key: t.key})
+		var got []claim.State
+		var out currantturn.Effects
+		t.claims[1].Begin(t.now, t.key, request.Digest{}, t.now.Add(time.Minute), false,
+			func(v claim.Verdict) { got = append(got, v.State) }, &out)
+		Expect(got).To(ConsistOf(claim.Silent))
+		Expect(out.Sends).To(BeEmpty())
+	})
+
 	It("asks a process that has ended for good nothing more", func() {
 		t := newTrio(record.DefaultBytes)
 		t.know(1, 2)
--- a/internal/coordination/claim/runner.go
+++ b/internal/coordination/claim/runner.go
@@ -278,7 +278,7 @@
 		if !now.Before(a.deadline) || now.Sub(a.heard) >= ownerSilence {
 			r.unanswered.Add(1)
 			if !a.answered && now.Sub(a.heard) >= ownerSilence {
-				r.silent.suspect(a.owner, now.Add(silentFor))
+				r.silent.suspect(a.owner, suspicion{until: now.Add(silentFor)})
 			}
 			r.remove(s, number)
 			a.decided(Verdict{Key: a.begin.Key, Attempt: a.begin.Attempt, State: Unknown})
--- a/internal/coordination/membership/farewell.go
+++ b/internal/coordination/membership/farewell.go
@@ -20,7 +20,7 @@
 	told := 0
 	for _, i := range l.rng.Perm(len(l.members)) {
 		m := l.members[i]
-		if m.Server.ID == l.opts.ID || m.Gone() {
+		if m.Server.ID == l.opts.ID {
 			continue
 		}
 		out.Send(m.Server.Agent, Ack{Version: l.version, From: last})
