Make request keys and leave the gate in one place each

Found in the read-through: try built its UUIDv7 by hand beside request.NewKey; Gate.Drain was SetLeaving(true) under another name, used by one test only; a weight in the fleet's test was computed to be always 1. Behaviour is unchanged; the affected packages' tests pass.

--- a/cmd/currantturn/fleet_test.go
+++ b/cmd/currantturn/fleet_test.go
@@ -224,10 +224,10 @@
 
 func (f *fleet) publishService() {
 	op := patch.AddService{Service: "verify", Addresses: []netip.AddrPort{f.address}}
-	for i, m := range f.agents {
+	for _, m := range f.agents {
 		op.BackendServers = append(op.BackendServers, currantturn.BackendServer{
 			ID: currantturn.BackendID(m.Name), FailureDomain: currantturn.FailureDomain(m.Domain),
-			Agent: m.Link, Stream: m.Stream, Slots: 3, Weight: 1 + i%1, State: currantturn.BackendActive,
+			Agent: m.Link, Stream: m.Stream, Slots: 3, Weight: 1, State: currantturn.BackendActive,
 		})
 	}
 	f.publish(0, op)
--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -96,12 +96,8 @@
 	g.advance(now)
 }
 
-// Drain sends all new requests elsewhere; those admitted or queued go on.
-func (g *Gate) Drain() {
-	g.SetLeaving(true)
-}
-
-// SetLeaving does what Drain does, or takes it back.
+// SetLeaving sends all new requests elsewhere, or takes that back; those
+// admitted or queued go on.
 func (g *Gate) SetLeaving(leaving bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/transport/request/doc.go
+++ b/internal/transport/request/doc.go
@@ -11,6 +11,6 @@
 //	http3.Server{Handler: h, ConnContext: request.ConnContext}   // towards callers
 //	request.StartPeers(stream address, tls, h.Peer())            // towards peers
 //
-// A planned stop calls Gate.Drain, then the servers' Shutdown, then
+// A planned stop calls Gate.SetLeaving, then the servers' Shutdown, then
 // Handler.Settle, and only then closes the link.
 package request
--- a/internal/transport/request/handler_test.go
+++ b/internal/transport/request/handler_test.go
@@ -277,7 +277,7 @@
 
 	It("passes requests of a draining agent to a peer and runs none itself", func(ctx SpecContext) {
 		b := newBench(2, 3)
-		b.agents[0].gate.Drain()
+		b.agents[0].gate.SetLeaving(true)
 		for _, headers := range [][]string{nil, {protocol.HeaderKey, newKey()}, {protocol.HeaderWatch, "?1"}} {
 			res, body, err := b.do(ctx, 0, "POST", "/check", "TZ-1", headers...)
 			Expect(err).NotTo(HaveOccurred())
--- a/internal/try/callers.go
+++ b/internal/try/callers.go
@@ -98,9 +98,18 @@
 	}
 }
 
+// newKey returns a request key that carries its time of issue.
+func (c *caller) newKey(now time.Time) string {
+	var random [10]byte
+	for i := range random {
+		random[i] = byte(c.rng.Uint32())
+	}
+	return protocol.NewKey(now, random).String()
+}
+
 // check sends one request that must run at most once.
 func (c *caller) check() {
-	id := requestID(c.rng, time.Now())
+	id := c.newKey(time.Now())
 	path := fmt.Sprintf("/check?caller=%s&n=%d", c.name, c.sequence)
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -5,12 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 )
 
@@ -129,18 +127,3 @@
 	defer cancel()
 	return r.site.close(ctx)
 }
-
-// requestID returns a UUID of version 7, which carries its time of issue.
-func requestID(rng *rand.Rand, now time.Time) string {
-	var id uuid.UUID
-	for i := range id {
-		id[i] = byte(rng.Uint32())
-	}
-	ms := now.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (8 * (5 - i)))
-	}
-	id[6] = id[6]&0x0f | 0x70
-	id[8] = id[8]&0x3f | 0x80
-	return id.String()
-}
