--- a/cmd/currantturn/hooks.go
+++ b/cmd/currantturn/hooks.go
@@ -9,16 +9,20 @@
 	"github.com/currantturn/currantturn/internal/command"
 	"github.com/currantturn/currantturn/internal/process"
 	"github.com/currantturn/currantturn/internal/try"
+	"github.com/currantturn/currantturn/platform"
 	"github.com/rotisserie/eris"
 )
 
 // hooks connects the command line to what the commands do.
 func hooks() command.Hooks {
 	return command.Hooks{
-		Balancer:   process.RunBalancer,
-		Agent:      process.RunAgent,
-		Try:        runTry,
-		CheckPatch: checkPatch,
+		Balancer:         process.RunBalancer,
+		Agent:            process.RunAgent,
+		FlowBalancer:     process.RunFlowBalancer,
+		FlowAgent:        process.RunFlowAgent,
+		SettingsVariable: platform.SettingsVariable,
+		Try:              runTry,
+		CheckPatch:       checkPatch,
 	}
 }
 
--- a/errors.go
+++ b/errors.go
@@ -14,4 +14,6 @@
 	ErrTooLarge = errors.New("input too large")
 	// ErrUnavailable reports a platform or peer that did not answer.
 	ErrUnavailable = errors.New("unavailable")
+	// ErrCompacted reports a watch from a revision that the store keeps no more.
+	ErrCompacted = errors.New("history compacted")
 )
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -75,6 +75,8 @@
 		Commands: []*cli.Command{
 			p.processCommand("balancer", "run the balancer of an entry VM", p.Hooks.Balancer),
 			p.processCommand("agent", "run the agent beside a backend server", p.Hooks.Agent),
+			p.processCommand("flow_balancer", "run the balancer of an entry VM for opaque flows", p.Hooks.FlowBalancer),
+			p.processCommand("flow_agent", "run the agent beside a backend server of opaque flows", p.Hooks.FlowAgent),
 			p.patchCommand(),
 			p.statusCommand(),
 			p.settingsCommand(),
--- a/internal/command/hooks.go
+++ b/internal/command/hooks.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -25,6 +26,8 @@
 // Process is one run of a balancer or an agent.
 type Process struct {
 	Options *settings.Options
+	Path    string           // of the settings file
+	Reload  <-chan os.Signal // a signal says that the settings file has changed
 	Log     *event.Logger
 	Audit   io.Writer       // lines of the audit trail
 	Stop    <-chan struct{} // closed at the first signal: shut down gracefully
@@ -57,6 +60,12 @@
 	// the context stops them at once.
 	Balancer func(context.Context, *Process) error
 	Agent    func(context.Context, *Process) error
+	// FlowBalancer and FlowAgent do the same for flows whose data stays opaque.
+	FlowBalancer func(context.Context, *Process) error
+	FlowAgent    func(context.Context, *Process) error
+	// SettingsVariable names the environment variable that may give the settings
+	// file of a process.
+	SettingsVariable string
 	// Try prints its report to out and its progress to progress; a failed
 	// invariant is ErrRejected.
 	Try func(ctx context.Context, o TryOptions, out, progress io.Writer) error
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -31,7 +31,10 @@
 	return &cli.Command{
 		Name:  role,
 		Usage: usage,
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "INI `FILE` of the process", Required: true, TakesFile: true}},
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "INI `FILE` of the process", Required: true, TakesFile: true,
+			Sources: cli.EnvVars(p.Hooks.SettingsVariable),
+		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if _, err := arguments(c); err != nil {
 				return err
@@ -48,20 +51,20 @@
 			if hook == nil {
 				return eris.Wrap(ErrNotWired, role)
 			}
-			return p.runProcess(ctx, o, hook)
+			return p.runProcess(ctx, c.String("settings"), o, hook)
 		},
 	}
 }
 
 // runProcess runs a hook, logs its life and turns signals into its stop.
-func (p *Program) runProcess(ctx context.Context, o *settings.Options, hook processHook) error {
+func (p *Program) runProcess(ctx context.Context, path string, o *settings.Options, hook processHook) error {
 	logger := event.NewLogger(p.Err, o.Log.Format, o.Log.Level, o.Process.Name)
 	report := func(number int, fields ...currantturn.Field) {
 		logger.Log(p.Now(), currantturn.Event{Number: number, Fields: fields})
 	}
 	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", o.Link.Address))
 	started := p.Now()
-	err := p.supervise(ctx, o, logger, report, hook)
+	err := p.supervise(ctx, path, o, logger, report, hook)
 	if err != nil {
 		report(event.ProcessFailed, event.F("error", err))
 		return err
@@ -73,15 +76,22 @@
 // supervise waits for the hook; after a second signal or an overrun grace it
 // waits no longer than forcedStopDelay.
 func (p *Program) supervise(
-	ctx context.Context, o *settings.Options, logger *event.Logger, report func(int, ...currantturn.Field), hook processHook,
+	ctx context.Context, path string, o *settings.Options, logger *event.Logger, report func(int, ...currantturn.Field), hook processHook,
 ) error {
 	signals, restore := p.Signals()
 	defer restore()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := make(chan struct{})
 	done := make(chan error, 1)
-	go func() { done <- hook(ctx, &Process{Options: o, Log: logger, Audit: p.Err, Stop: stop}) }()
+	go func() {
+		done <- hook(ctx, &Process{
+			Options: o, Path: path, Reload: reload, Log: logger, Audit: p.Err, Stop: stop,
+		})
+	}()
 
 	select {
 	case err := <-done:
--- /dev/null
+++ b/internal/coordination/holding/agent.go
@@ -0,0 +1,197 @@
+package holding
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/state/shard"
+)
+
+// Options are an agent's place and its bounds.
+type Options struct {
+	Codec   currantturn.PacketCodec
+	Service currantturn.ServiceName
+	Backend currantturn.BackendID // name of the VM, for the log
+	// LinkPort is the port of every balancer's link address.
+	LinkPort uint16
+	Started  time.Time
+	// Fresh says that no flow can be older than this process.
+	Fresh bool
+	Flows int // bound of the flows that are known
+}
+
+// Agent is the router beside a backend server of opaque flows.
+type Agent struct {
+	opts    Options
+	service atomic.Pointer[currantturn.ServiceName]
+	flows   *shard.Map[currantturn.FlowKey, record]
+	work    work
+	counts  counts
+
+	mu         sync.Mutex // guards the fields below
+	waiting    []unanswered
+	balancers  map[netip.AddrPort]*listener
+	unanswered int       // opening packets in a row without a sign of life
+	silent     time.Time // since when the backend server counts as silent
+	tried      time.Time // last opening packet to a silent backend server
+	sweepAt    int
+}
+
+// unanswered is an opening packet that the backend server got.
+type unanswered struct {
+	key currantturn.FlowKey
+	due time.Time
+}
+
+type counts struct {
+	delivered, bounced, returned, declined, forgotten, answers, foreign, full atomic.Uint64
+}
+
+// Counters are an agent's totals since its start.
+type Counters struct {
+	Delivered uint64 `json:"delivered"` // packets handed to the backend server
+	Answers   uint64 `json:"answers"`   // packets of the backend server sent to callers
+	Bounced   uint64 `json:"bounced"`   // packets that the backend server did not take
+	Returned  uint64 `json:"returned"`  // packets of flows held elsewhere, returned to their balancer
+	Declined  uint64 `json:"declined"`  // new flows returned to their balancer
+	Forgotten uint64 `json:"forgotten"` // open flows that the backend server did not know any more
+	Foreign   uint64 `json:"foreign"`   // packets for another service
+	Full      uint64 `json:"full"`      // flows beyond the bound of those known
+	Flows     int    `json:"flows"`     // flows known at present
+	Running   int    `json:"running"`   // requests in progress at present
+}
+
+// New returns an agent that knows no flows.
+func New(opts Options) *Agent {
+	if opts.Flows == 0 {
+		opts.Flows = DefaultFlows
+	}
+	a := &Agent{
+		opts:      opts,
+		flows:     shard.New[currantturn.FlowKey, record](opts.Flows),
+		balancers: make(map[netip.AddrPort]*listener),
+	}
+	a.SetService(opts.Service)
+	return a
+}
+
+// SetService takes the service of the backend server from changed settings.
+func (a *Agent) SetService(s currantturn.ServiceName) {
+	a.service.Store(&s)
+}
+
+// Service returns the service of the backend server.
+func (a *Agent) Service() currantturn.ServiceName {
+	return *a.service.Load()
+}
+
+// Counters returns the totals so far.
+func (a *Agent) Counters() Counters {
+	c := &a.counts
+	return Counters{
+		Delivered: c.delivered.Load(), Answers: c.answers.Load(), Bounced: c.bounced.Load(),
+		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
+		Foreign: c.foreign.Load(), Full: c.full.Load(),
+		Flows: a.flows.Len(), Running: a.work.load(time.Time{}).Running,
+	}
+}
+
+// complete says whether a flow without a record is certainly not held here.
+func (a *Agent) complete(now time.Time) bool {
+	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime
+}
+
+// Handle does nothing: balancers send an agent packets only.
+func (a *Agent) Handle(time.Time, netip.AddrPort, currantturn.Message, *currantturn.Effects) {}
+
+// Configure does nothing: an agent follows the packets.
+func (a *Agent) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
+
+// Tick returns opening packets that were not answered, reports the load and
+// forgets flows.
+func (a *Agent) Tick(now time.Time, out *currantturn.Effects) {
+	a.mu.Lock()
+	n := 0
+	for n < len(a.waiting) && !now.Before(a.waiting[n].due) {
+		n++
+	}
+	due := append([]unanswered(nil), a.waiting[:n]...)
+	a.waiting = append(a.waiting[:0], a.waiting[n:]...)
+	a.sweepAt++
+	number := a.sweepAt
+	a.mu.Unlock()
+	for _, w := range due {
+		a.overdue(now, w.key, out)
+	}
+	a.flows.Sweep(number, func(_ currantturn.FlowKey, r *record) bool {
+		a.expireRequest(now, r)
+		if !r.expired(now) {
+			return true
+		}
+		a.end(r)
+		return false
+	})
+	a.report(now, out)
+}
+
+// overdue returns an opening packet that the backend server did not answer.
+func (a *Agent) overdue(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	a.flows.Update(key, func(r *record) *record {
+		if r == nil || r.progress != opening || r.opening == nil {
+			return r
+		}
+		a.missed(now, out)
+		a.giveBack(r.balancer, currantturn.IntentDeclined, r.opening, out)
+		a.counts.declined.Add(1)
+		r.opening = nil // an answer that comes late still opens the flow
+		return r
+	})
+}
+
+// missed counts an opening packet without an answer.
+func (a *Agent) missed(now time.Time, out *currantturn.Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unanswered++
+	if a.unanswered >= silentAfter && a.silent.IsZero() {
+		a.silent = now
+		out.Event(event.BackendSilent, event.F("backend", a.opts.Backend),
+			event.F("unanswered", a.unanswered), event.F("waited", answerTimeout))
+	}
+}
+
+// alive takes any packet of the backend server as a sign of life.
+func (a *Agent) alive(out *currantturn.Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.silent.IsZero() {
+		out.Event(event.BackendAnswers, event.F("backend", a.opts.Backend))
+	}
+	a.unanswered, a.silent = 0, time.Time{}
+}
+
+// takes says whether the backend server may get an opening packet now; a silent
+// one gets one from time to time.
+func (a *Agent) takes(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.silent.IsZero() {
+		return true
+	}
+	if now.Sub(a.tried) < retrySilent {
+		return false
+	}
+	a.tried = now
+	return true
+}
+
+func (a *Agent) giveBack(to netip.AddrPort, intent currantturn.Intent, packet []byte, out *currantturn.Effects) {
+	out.Forwards = append(out.Forwards, currantturn.Forward{To: to, Envelope: currantturn.Envelope{
+		Direction: currantturn.ToCaller, Intent: intent, Service: a.Service(),
+		Packet: currantturn.Packet{Payload: packet},
+	}})
+}
--- /dev/null
+++ b/internal/coordination/holding/constants.go
@@ -0,0 +1,35 @@
+package holding
+
+import "time"
+
+const (
+	// DefaultFlows bounds the flows that an agent knows.
+	DefaultFlows = 1 << 14
+	// answerTimeout is how long a backend server may take to answer an opening
+	// packet; it answers within a millisecond while it works.
+	answerTimeout = 40 * time.Millisecond
+	// silentAfter is how many unanswered opening packets in a row, with no other
+	// packet between, make a backend server count as silent.
+	silentAfter = 2
+	// retrySilent is how often one opening packet tries a silent backend server.
+	retrySilent = 250 * time.Millisecond
+	// flowLifetime is how long a silent flow is known, and after what uptime an
+	// agent knows every flow of its backend server.
+	flowLifetime = time.Minute
+	// closedFor is how long a closed flow is known for late packets.
+	closedFor = 5 * time.Second
+	// requestTimeout is how long a request without an answer counts as running.
+	requestTimeout = 10 * time.Second
+	// reportEvery is how often balancers hear a changed load.
+	reportEvery = 100 * time.Millisecond
+	// refreshEvery is how often they hear an unchanged one.
+	refreshEvery = time.Second
+	// heardWithin is how long a balancer gets reports after its last packet.
+	heardWithin = 5 * time.Second
+	// maxBalancers bounds the balancers that get reports.
+	maxBalancers = 64
+	// serviceWeight is the weight of one answer in the mean of recent ones.
+	serviceWeight = 0.05
+	// serviceFor is how long a mean without new answers counts.
+	serviceFor = 2 * time.Second
+)
--- /dev/null
+++ b/internal/coordination/holding/route.go
@@ -0,0 +1,135 @@
+package holding
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+)
+
+// arrival is one caller's packet under decision.
+type arrival struct {
+	now    time.Time
+	from   netip.AddrPort // balancer
+	intent currantturn.Intent
+	packet *currantturn.Packet
+	out    *currantturn.Effects
+}
+
+// Route decides on a caller's packet that a balancer sent here.
+func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
+	a.hear(now, from)
+	d := &arrival{now: now, from: from, intent: e.Intent, packet: &e.Packet, out: out}
+	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
+		a.counts.foreign.Add(1)
+		out.Event(event.FlowForeign, event.F("flow", e.Packet.Flow), event.F("service", e.Service))
+		a.refuse(d)
+		return
+	}
+	stored := a.flows.Update(e.Packet.Flow, func(r *record) *record {
+		if e.Packet.Mark == currantturn.MarkOpening {
+			return a.open(d, r)
+		}
+		return a.data(d, r)
+	})
+	if !stored {
+		a.counts.full.Add(1)
+		a.refuse(d)
+	}
+}
+
+// open takes an opening packet: a repeat belongs to its flow, another one is
+// new work.
+func (a *Agent) open(d *arrival, r *record) *record {
+	switch {
+	case d.intent == currantturn.IntentSearch:
+		return r
+	case r != nil && r.progress != closed:
+		r.seen = d.now
+		a.deliver(d)
+		return r
+	case !a.takes(d.now):
+		a.refuse(d)
+		return r
+	}
+	a.deliver(d)
+	a.mu.Lock()
+	a.waiting = append(a.waiting, unanswered{key: d.packet.Flow, due: d.now.Add(answerTimeout)})
+	a.mu.Unlock()
+	return &record{
+		progress: opening, balancer: d.from, sentAt: d.now, seen: d.now,
+		opening: bytes.Clone(d.packet.Payload),
+	}
+}
+
+// data takes a packet of a flow that was opened before, here or elsewhere.
+func (a *Agent) data(d *arrival, r *record) *record {
+	if r == nil {
+		if a.complete(d.now) {
+			a.refuse(d)
+			return nil
+		}
+		// The flow may be older than this process: the backend server knows.
+		a.deliver(d)
+		return nil
+	}
+	if r.progress == opening || !r.acknowledges(d.packet.Acked) && d.packet.Mark != currantturn.MarkReset {
+		a.refuse(d)
+		return r
+	}
+	if r.progress == answered {
+		r.progress = open
+		a.work.opened(1)
+	}
+	if d.intent == currantturn.IntentSearch {
+		d.out.Send(d.from, relay.Held{Flow: relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service}})
+	}
+	r.seen = d.now
+	if r.progress == open && d.packet.DataSize > 0 && r.running.IsZero() {
+		r.running = d.now
+		a.work.started()
+	}
+	a.deliver(d)
+	switch d.packet.Mark {
+	case currantturn.MarkReset:
+		a.close(d.now, r)
+	case currantturn.MarkClosing:
+		a.ended(d.now, r, endCaller)
+	}
+	return r
+}
+
+// deliver hands the packet to the backend server, tagged with the balancer to
+// which a bounce goes back.
+func (a *Agent) deliver(d *arrival) {
+	a.counts.delivered.Add(1)
+	a.opts.Codec.SetTag(d.packet.Payload, tagOf(d.from))
+	d.out.Delivers = append(d.out.Delivers, *d.packet)
+}
+
+// refuse tells the balancer that the packet was not delivered.
+func (a *Agent) refuse(d *arrival) {
+	switch {
+	case d.intent == currantturn.IntentSearch:
+		d.out.Send(d.from, relay.Absent{Flow: relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service}})
+	case d.packet.Mark == currantturn.MarkOpening:
+		a.counts.declined.Add(1)
+		a.giveBack(d.from, currantturn.IntentDeclined, d.packet.Payload, d.out)
+	default:
+		a.counts.returned.Add(1)
+		a.giveBack(d.from, currantturn.IntentAbsent, d.packet.Payload, d.out)
+	}
+}
+
+func tagOf(balancer netip.AddrPort) uint32 {
+	ip := balancer.Addr().As4()
+	return uint32(ip[0])<<24 | uint32(ip[1])<<16 | uint32(ip[2])<<8 | uint32(ip[3])
+}
+
+func (a *Agent) balancerOf(tag uint32) netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{byte(tag >> 24), byte(tag >> 16), byte(tag >> 8), byte(tag)})
+	return netip.AddrPortFrom(ip, a.opts.LinkPort)
+}
--- /dev/null
+++ b/internal/coordination/publication/feed.go
@@ -0,0 +1,300 @@
+package publication
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/state/roster"
+)
+
+// Options are a balancer's identity and its bounds.
+type Options struct {
+	Self  netip.AddrPort   // link address
+	Seeds []netip.AddrPort // link addresses of balancers that may be asked first
+	Seed  uint64           // of its random choices
+	// ApplyWithin is the time within which a published configuration has to be
+	// in force.
+	ApplyWithin time.Duration
+}
+
+// State is what is published at one revision of the store; it is never changed.
+type State struct {
+	Revision uint64               `cbor:"1,keyasint"`
+	Routing  *currantturn.Routing `cbor:"2,keyasint"`
+	Servers  []roster.Entry       `cbor:"3,keyasint"`
+}
+
+// Step is what a balancer does next about the store.
+type Step string
+
+// Steps of a balancer.
+const (
+	StepList  Step = "list"  // read everything
+	StepWatch Step = "watch" // wait for changes
+	StepPause Step = "pause" // leave the store to other balancers for a moment
+)
+
+// Plan is the next step with its arguments.
+type Plan struct {
+	Step  Step
+	After uint64        // of a watch
+	Wait  time.Duration // of a watch or a pause
+}
+
+// Feed keeps the newest published state; it is safe for concurrent use.
+type Feed struct {
+	opts Options
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	state     State
+	servers   *roster.Roster
+	listed    bool      // a listing stands from which a watch may continue
+	confirmed time.Time // when the store confirmed the state last, here or elsewhere
+	lost      time.Time // since when this process's own reads fail
+	trusted   time.Time // until then a missing registration may be a lapse
+	failures  int
+	peers     map[netip.AddrPort]time.Time // when each was heard last
+	beaten    time.Time
+}
+
+// New returns a feed that knows nothing yet.
+func New(now time.Time, opts Options) *Feed {
+	f := &Feed{
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, 7)),
+		servers: roster.New(),
+		peers:   make(map[netip.AddrPort]time.Time),
+	}
+	for _, s := range opts.Seeds {
+		if s != opts.Self {
+			f.peers[s] = now.Add(-peerTimeout) // to be told, not yet alive
+		}
+	}
+	return f
+}
+
+// State returns the newest state, its Routing nil before the first one.
+func (f *Feed) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state
+}
+
+// Next decides the next step. Few balancers watch; the others read only when
+// what they hear of the store grows old, or nothing is known yet.
+func (f *Feed) Next(now time.Time) Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failures > 0 {
+		if due := f.lost.Add(f.backoff()); now.Before(due) {
+			return Plan{Step: StepPause, Wait: due.Sub(now)}
+		}
+	}
+	fresh := f.opts.ApplyWithin / 2
+	known := f.state.Routing != nil && len(f.state.Servers) > 0
+	if known && !f.watches(now) && now.Sub(f.confirmed) < fresh {
+		f.listed = false
+		return Plan{Step: StepPause, Wait: heartbeatEvery / 3}
+	}
+	if !f.listed {
+		return Plan{Step: StepList}
+	}
+	return Plan{Step: StepWatch, After: f.state.Revision, Wait: f.opts.ApplyWithin / 3}
+}
+
+// backoff is the jittered pause after the present number of failures.
+func (f *Feed) backoff() time.Duration {
+	d := min(retryFirst<<min(f.failures-1, 8), retryMost)
+	return d/2 + time.Duration(f.rng.Int64N(int64(d)))
+}
+
+// watches says whether this balancer is among the watchers of those alive.
+func (f *Feed) watches(now time.Time) bool {
+	own := order(f.opts.Self)
+	before := 0
+	for at, heard := range f.peers {
+		if now.Sub(heard) < peerTimeout && order(at) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+func order(at netip.AddrPort) uint64 {
+	return xxhash.Sum64String(at.String())
+}
+
+// Listed takes a reading of everything that began at the given time.
+func (f *Feed) Listed(now, began time.Time, routing, servers currantturn.Listing, out *currantturn.Effects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained(now, out)
+	// Changes between the two reads are seen again by the watch.
+	revision := min(routing.Revision, servers.Revision)
+	f.listed = true
+	if revision < f.state.Revision {
+		return // a peer was ahead; the watch goes on from its revision
+	}
+	next := State{Revision: revision, Routing: f.state.Routing}
+	for _, i := range routing.Items {
+		next.Routing = f.newer(i.Routing, out)
+	}
+	var all []currantturn.Registration
+	for _, i := range servers.Items {
+		if i.Registration != nil {
+			all = append(all, *i.Registration)
+		}
+	}
+	f.servers.Replace(now, all, f.trusted)
+	next.Servers = f.servers.Entries()
+	f.state, f.confirmed = next, began
+}
+
+// Watched takes the changes of a watch.
+func (f *Feed) Watched(now time.Time, l currantturn.Listing, out *currantturn.Effects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained(now, out)
+	if l.Revision < f.state.Revision {
+		return // a peer was ahead
+	}
+	next := State{Revision: l.Revision, Routing: f.state.Routing, Servers: f.state.Servers}
+	for _, i := range l.Items {
+		f.take(now, i, &next, out)
+	}
+	next.Servers = f.servers.Entries()
+	f.state, f.confirmed = next, now
+}
+
+func (f *Feed) take(now time.Time, i currantturn.Item, next *State, out *currantturn.Effects) {
+	switch {
+	case i.Routing != nil:
+		next.Routing = f.newer(i.Routing, out)
+	case i.Registration != nil:
+		f.servers.Put(*i.Registration)
+		out.Event(event.RegistrationSeen, event.F("backend", i.Registration.ID),
+			event.F("state", i.Registration.State), event.F("revision", next.Revision))
+	default:
+		f.servers.Remove(now, i.Removed, f.trusted)
+		out.Event(event.RegistrationGone, event.F("backend", i.Removed),
+			event.F("revision", next.Revision), event.F("trusted", !now.Before(f.trusted)))
+	}
+}
+
+// newer returns the configuration that is in force from now on; a lower
+// version never replaces a higher one.
+func (f *Feed) newer(r *currantturn.Routing, out *currantturn.Effects) *currantturn.Routing {
+	old := f.state.Routing
+	if r == nil || old != nil && r.Version <= old.Version {
+		return old
+	}
+	out.Event(event.RoutingInForce, event.F("version", uint64(r.Version)), event.F("routes", len(r.Routes)))
+	return r
+}
+
+// Failed takes a failed read.
+func (f *Feed) Failed(now time.Time, compacted bool, err error, out *currantturn.Effects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+	if compacted {
+		return // the store answers: read everything at once
+	}
+	if f.failures == 0 {
+		out.Event(event.StoreLost, event.F("error", err))
+	}
+	f.failures++
+	f.lost = now
+	f.trusted = now.Add(lapseGrace)
+}
+
+func (f *Feed) regained(now time.Time, out *currantturn.Effects) {
+	if f.failures > 0 {
+		f.trusted = now.Add(lapseGrace)
+		out.Event(event.StoreRegained, event.F("failures", f.failures))
+	}
+	f.failures = 0
+}
+
+// Pulled takes the state of a peer that was ahead.
+func (f *Feed) Pulled(s State, out *currantturn.Effects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.Revision <= f.state.Revision || s.Routing == nil {
+		return
+	}
+	s.Routing = f.newer(s.Routing, out)
+	f.servers.Restore(s.Servers)
+	s.Servers = f.servers.Entries()
+	f.state = s
+}
+
+// Handle takes a peer's heartbeat and tells whether its state is worth a pull.
+func (f *Feed) Handle(now time.Time, from netip.AddrPort, h Heartbeat) (pull bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[from] = now
+	for _, p := range h.Peers {
+		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
+			f.peers[p] = now.Add(-peerTimeout)
+		}
+	}
+	if h.Version > 0 && (f.state.Routing == nil || h.Revision > f.state.Revision) {
+		return true
+	}
+	// An older revision that the store confirmed late says nothing new.
+	if at := now.Add(-time.Duration(h.AgeMS) * time.Millisecond); h.Revision == f.state.Revision && at.After(f.confirmed) {
+		f.confirmed = at
+	}
+	return false
+}
+
+// Tick sends heartbeats when due and expires what lapsed; it tells of a change.
+func (f *Feed) Tick(now time.Time, out *currantturn.Effects) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.servers.Expire(now) {
+		f.state.Servers = f.servers.Entries()
+		changed = true
+	}
+	if now.Sub(f.beaten) >= heartbeatEvery {
+		f.beat(now, out)
+	}
+	return changed
+}
+
+// Beat sends heartbeats at once, since the state has changed.
+func (f *Feed) Beat(now time.Time, out *currantturn.Effects) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beat(now, out)
+}
+
+func (f *Feed) beat(now time.Time, out *currantturn.Effects) {
+	f.beaten = now
+	all := make([]netip.AddrPort, 0, len(f.peers))
+	for at, heard := range f.peers {
+		if now.Sub(heard) > forgetPeer && !slices.Contains(f.opts.Seeds, at) {
+			delete(f.peers, at)
+			continue
+		}
+		all = append(all, at)
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	f.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	h := Heartbeat{Revision: f.state.Revision, Peers: all[:min(len(all), peersTold)]}
+	if f.state.Routing != nil {
+		h.Version = f.state.Routing.Version
+	}
+	h.AgeMS = uint32(min(now.Sub(f.confirmed), time.Hour).Milliseconds())
+	for _, at := range all[:min(len(all), heartbeatFan)] {
+		out.Send(at, h)
+	}
+}
--- /dev/null
+++ b/internal/coordination/steering/balancer.go
@@ -0,0 +1,172 @@
+package steering
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/state/shard"
+)
+
+// Options are a balancer's place and its bounds.
+type Options struct {
+	Codec  currantturn.PacketCodec
+	Domain currantturn.FailureDomain
+	// AgentPort is the port of every agent's link address.
+	AgentPort uint16
+	Seed      uint64 // of its random choices
+	Flows     int    // bound of the flows that are remembered
+}
+
+// Balancer is the router of an entry VM for opaque flows.
+type Balancer struct {
+	opts  Options
+	plan  atomic.Pointer[plan]
+	flows *shard.Map[currantturn.FlowKey, entry]
+
+	mu      sync.Mutex // guards the fields below and changes of the plan
+	rng     *rand.Rand
+	waiting []opening
+	held    [][]byte // packets that came before the first configuration
+	sweepAt int
+	counts  counts
+}
+
+// opening is an opening packet whose backend server has not answered yet.
+type opening struct {
+	key currantturn.FlowKey
+	due time.Time
+}
+
+// published is what a plan is made from.
+type published struct {
+	routing   *currantturn.Routing
+	servers   []roster.Entry
+	agentPort uint16
+}
+
+type counts struct {
+	placed, replaced, known, searched, found, absent, refused, unrouted, full atomic.Uint64
+}
+
+// Counters are a balancer's totals since its start.
+type Counters struct {
+	Placed   uint64 `json:"placed"`   // new flows sent to a backend server
+	Replaced uint64 `json:"replaced"` // new flows sent to another one after the first did not take them
+	Known    uint64 `json:"known"`    // packets of flows whose holder was known
+	Searched uint64 `json:"searched"` // packets of unknown flows sent to every possible holder
+	Found    uint64 `json:"found"`    // searches that found the holder
+	Absent   uint64 `json:"absent"`   // searches that every possible holder answered with no
+	Refused  uint64 `json:"refused"`  // new flows reset for want of a backend server
+	Unrouted uint64 `json:"unrouted"` // packets without a route
+	Full     uint64 `json:"full"`     // flows beyond the bound of those remembered
+	Flows    int    `json:"flows"`    // flows remembered at present
+}
+
+// New returns a balancer that has no configuration yet.
+func New(opts Options) *Balancer {
+	if opts.Flows == 0 {
+		opts.Flows = DefaultFlows
+	}
+	return &Balancer{
+		opts:  opts,
+		flows: shard.New[currantturn.FlowKey, entry](opts.Flows),
+		rng:   rand.New(rand.NewPCG(opts.Seed, 11)),
+	}
+}
+
+// Counters returns the totals so far.
+func (b *Balancer) Counters() Counters {
+	c := &b.counts
+	return Counters{
+		Placed: c.placed.Load(), Replaced: c.replaced.Load(), Known: c.known.Load(),
+		Searched: c.searched.Load(), Found: c.found.Load(), Absent: c.absent.Load(),
+		Refused: c.refused.Load(), Unrouted: c.unrouted.Load(), Full: c.full.Load(),
+		Flows: b.flows.Len(),
+	}
+}
+
+// Ready says whether there are routes and backend servers.
+func (b *Balancer) Ready() bool {
+	p := b.plan.Load()
+	return p != nil && len(p.ready) > 0
+}
+
+// Publish puts a published state in force.
+func (b *Balancer) Publish(now time.Time, s publication.State, out *currantturn.Effects) {
+	if s.Routing == nil {
+		return
+	}
+	b.mu.Lock()
+	old := b.plan.Load()
+	if old != nil && s.Routing.Version < old.version {
+		b.mu.Unlock()
+		return
+	}
+	b.plan.Store(newPlan(now, &published{routing: s.Routing, servers: s.Servers, agentPort: b.opts.AgentPort}, old))
+	held := b.held
+	if b.Ready() {
+		b.held = nil
+	}
+	b.mu.Unlock()
+	if !b.Ready() {
+		return
+	}
+	for _, p := range held {
+		e := currantturn.Envelope{Direction: currantturn.ToBackend}
+		if err := b.opts.Codec.Decode(p, currantturn.ToBackend, &e.Packet); err == nil {
+			b.Route(now, netip.AddrPort{}, &e, out)
+		}
+	}
+}
+
+// Handle takes a control message of an agent.
+func (b *Balancer) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	p := b.plan.Load()
+	if p == nil {
+		return
+	}
+	t := p.byAgent[from]
+	if t == nil {
+		return
+	}
+	switch m := m.(type) {
+	case relay.Accepted:
+		t.report(now, m.Load)
+		b.accepted(now, m.Flow.Key(), t)
+	case relay.Report:
+		t.report(now, m.Load)
+	case relay.Held:
+		b.found(now, m.Flow.Key(), t, out)
+	case relay.Absent:
+		b.absent(now, m.Flow.Key(), t, out)
+	}
+}
+
+// Configure does nothing: this balancer follows a published state.
+func (b *Balancer) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
+
+// Tick sends overdue opening packets to another backend server and forgets
+// silent flows.
+func (b *Balancer) Tick(now time.Time, out *currantturn.Effects) {
+	b.mu.Lock()
+	n := 0
+	for n < len(b.waiting) && !now.Before(b.waiting[n].due) {
+		n++
+	}
+	due := append([]opening(nil), b.waiting[:n]...)
+	b.waiting = append(b.waiting[:0], b.waiting[n:]...)
+	b.sweepAt++
+	number := b.sweepAt
+	b.mu.Unlock()
+	for _, o := range due {
+		b.overdue(now, o.key, out)
+	}
+	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
+}
--- /dev/null
+++ b/internal/coordination/steering/entry.go
@@ -0,0 +1,70 @@
+package steering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantturn/currantturn"
+)
+
+// progress is how far a flow has come, as a balancer knows it.
+type progress string
+
+const (
+	placing   progress = "placing"   // its opening packet waits for the backend server's answer
+	known     progress = "known"     // its holder answered
+	searching progress = "searching" // its holder is asked for
+)
+
+// entry is what a balancer remembers of a flow.
+type entry struct {
+	progress progress
+	holder   *target // nil while searching
+	opening  []byte  // the opening packet while placing
+	tried    []currantturn.BackendID
+	due      time.Time // of the answer to the opening packet
+	asked    time.Time // start of the search
+	absent   []currantturn.BackendID
+	seen     time.Time
+	closed   time.Time
+	acked    uint32 // of the caller's last packet, for a reset
+}
+
+func (e *entry) expired(now time.Time) bool {
+	if !e.closed.IsZero() && now.Sub(e.seen) > closedFor {
+		return true
+	}
+	return now.Sub(e.seen) > flowLifetime
+}
+
+// search starts or continues a search for the holder.
+func (e *entry) search(now time.Time) {
+	if e.progress == searching && now.Sub(e.asked) < searchTimeout {
+		return
+	}
+	*e = entry{progress: searching, asked: now, seen: now, acked: e.acked}
+}
+
+// settle makes a backend server the flow's holder.
+func (e *entry) settle(now time.Time, t *target) {
+	e.progress, e.holder, e.opening, e.absent, e.seen = known, t, nil, nil, now
+}
+
+// rule takes one backend server's no and tells whether all of them said so.
+func (e *entry) rule(id currantturn.BackendID, all []*target) (nowhere bool) {
+	if !slices.Contains(e.absent, id) {
+		e.absent = append(e.absent, id)
+	}
+	for _, t := range all {
+		if !slices.Contains(e.absent, t.entry.ID) && !t.ended() {
+			return false
+		}
+	}
+	return true
+}
+
+// ended says whether the backend server is known to have ended, so that it
+// holds nothing and nobody answers for it.
+func (t *target) ended() bool {
+	return !t.entry.Gone.IsZero() && t.entry.Left
+}
--- /dev/null
+++ b/internal/coordination/steering/route.go
@@ -0,0 +1,324 @@
+package steering
+
+import (
+	"bytes"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/placement"
+	"github.com/currantturn/currantturn/internal/event"
+)
+
+// Route decides on a caller's packet, or on one that an agent returned.
+func (b *Balancer) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
+	p := b.plan.Load()
+	if p == nil || len(p.ready) == 0 {
+		b.hold(&e.Packet)
+		return
+	}
+	if from.IsValid() {
+		b.returned(now, p, from, e, out)
+		return
+	}
+	f := p.routes[e.Packet.Flow.Service]
+	if f == nil {
+		b.counts.unrouted.Add(1)
+		b.reset(&e.Packet, "no route", out)
+		return
+	}
+	b.forward(now, p, f, &e.Packet, out)
+}
+
+// hold keeps a packet until the first configuration is known.
+func (b *Balancer) hold(p *currantturn.Packet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.held) < maxHeld {
+		b.held = append(b.held, bytes.Clone(p.Payload))
+	}
+}
+
+// forward sends a caller's packet towards its flow's backend server.
+func (b *Balancer) forward(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, out *currantturn.Effects,
+) {
+	stored := b.flows.Update(packet.Flow, func(x *entry) *entry {
+		opening := packet.Mark == currantturn.MarkOpening
+		if x == nil || opening && !x.closed.IsZero() {
+			x = &entry{}
+		}
+		x.seen, x.acked = now, packet.Acked
+		switch packet.Mark {
+		case currantturn.MarkReset, currantturn.MarkClosing:
+			if x.closed.IsZero() {
+				x.closed = now
+			}
+		case currantturn.MarkOpening:
+			if x.progress == "" || x.progress == searching {
+				b.place(now, p, f, packet, x, out)
+				return b.kept(x)
+			}
+		}
+		b.follow(now, p, f, packet, x, out)
+		return b.kept(x)
+	})
+	if !stored {
+		b.counts.full.Add(1)
+	}
+}
+
+// kept drops an entry that nothing was decided for.
+func (b *Balancer) kept(x *entry) *entry {
+	if x.progress == "" {
+		return nil
+	}
+	return x
+}
+
+// follow sends a packet to the known holder, or to all possible ones.
+func (b *Balancer) follow(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	if t := b.current(p, x); t != nil {
+		if t.ended() {
+			// Its flows ended with it.
+			b.lost(now, packet, x, "backend server has left", out)
+			return
+		}
+		b.counts.known.Add(1)
+		b.send(t, currantturn.IntentHeld, packet, out)
+		return
+	}
+	x.search(now)
+	b.counts.searched.Add(1)
+	for _, t := range p.holders(f) {
+		if t.ended() || slices.Contains(x.absent, t.entry.ID) {
+			continue
+		}
+		b.send(t, currantturn.IntentSearch, packet, out)
+	}
+}
+
+// current returns the entry's holder as the plan knows it now, or nil if it is
+// to be searched for.
+func (b *Balancer) current(p *plan, x *entry) *target {
+	if x.holder == nil {
+		return nil
+	}
+	t := p.byAgent[x.holder.agent]
+	if t == nil || t.entry.ID != x.holder.entry.ID {
+		return nil
+	}
+	x.holder = t
+	return t
+}
+
+// place sends an opening packet to the best backend server of its route.
+func (b *Balancer) place(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	t := b.choose(now, p, f, x.tried)
+	if t == nil {
+		b.counts.refused.Add(1)
+		b.lost(now, packet, x, "no backend server takes new flows", out)
+		return
+	}
+	if len(x.tried) == 0 {
+		b.counts.placed.Add(1)
+	} else {
+		b.counts.replaced.Add(1)
+	}
+	t.take()
+	x.progress, x.holder, x.due = placing, t, now.Add(acceptTimeout)
+	x.opening = bytes.Clone(packet.Payload)
+	x.tried = append(x.tried, t.entry.ID)
+	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
+		event.F("backend", t.entry.ID))
+	b.send(t, currantturn.IntentPlace, packet, out)
+	b.mu.Lock()
+	b.waiting = append(b.waiting, opening{key: packet.Flow, due: x.due})
+	b.mu.Unlock()
+}
+
+// choose returns the best backend server that was not tried yet, or nil.
+func (b *Balancer) choose(
+	now time.Time, p *plan, f *currantturn.FlowRoute, tried []currantturn.BackendID,
+) *target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var targets []*target
+	var candidates []placement.Candidate
+	for _, t := range p.ready[b.share(f)] {
+		if slices.Contains(tried, t.entry.ID) {
+			continue
+		}
+		targets = append(targets, t)
+		candidates = append(candidates, t.candidate(now, b.opts.Domain))
+	}
+	best := placement.Choose(b.rng, candidates)
+	if best < 0 {
+		return nil
+	}
+	return targets[best]
+}
+
+// share draws the service of a new flow by the route's weights.
+func (b *Balancer) share(f *currantturn.FlowRoute) currantturn.ServiceName {
+	if len(f.Shares) == 1 {
+		return f.Shares[0].Service
+	}
+	total := 0
+	for _, s := range f.Shares {
+		total += s.Weight
+	}
+	at := b.rng.IntN(total)
+	for _, s := range f.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return f.Shares[0].Service
+}
+
+func (b *Balancer) send(t *target, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects) {
+	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
+		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
+	}})
+}
+
+// returned takes back a packet that an agent did not deliver.
+func (b *Balancer) returned(
+	now time.Time, p *plan, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects,
+) {
+	t, f := p.byAgent[from], p.routes[e.Packet.Flow.Service]
+	if t == nil || f == nil {
+		return
+	}
+	b.flows.Update(e.Packet.Flow, func(x *entry) *entry {
+		switch {
+		case x == nil:
+			return nil
+		case e.Intent == currantturn.IntentDeclined:
+			b.declined(now, p, f, t, &e.Packet, x, out)
+		case x.progress == searching:
+			b.rule(now, p, f, t, &e.Packet, x, out)
+		case x.holder != nil && x.holder.agent == from:
+			// The packet goes on at once to whoever holds the flow.
+			x.search(now)
+			x.absent = append(x.absent, t.entry.ID)
+			b.follow(now, p, f, &e.Packet, x, out)
+		}
+		return b.kept(x)
+	})
+}
+
+// declined places a new flow elsewhere.
+func (b *Balancer) declined(
+	now time.Time, p *plan, f *currantturn.FlowRoute, t *target, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	t.shun(now)
+	if x.progress != placing || x.holder == nil || x.holder.agent != t.agent {
+		return
+	}
+	out.Event(event.FlowDeclined, event.F("flow", packet.Flow), event.F("backend", t.entry.ID), event.F("tries", len(x.tried)))
+	b.place(now, p, f, packet, x, out)
+}
+
+// overdue places a new flow elsewhere whose opening packet was not answered.
+func (b *Balancer) overdue(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	p := b.plan.Load()
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil || x.progress != placing || now.Before(x.due) {
+			return x
+		}
+		f := p.routes[key.Service]
+		if f == nil {
+			return x
+		}
+		x.holder.shun(now)
+		if len(x.tried) >= maxTries {
+			return x // the caller's own copies go on
+		}
+		var packet currantturn.Packet
+		if err := b.opts.Codec.Decode(x.opening, currantturn.ToBackend, &packet); err != nil {
+			return nil
+		}
+		out.Event(event.FlowUnanswered, event.F("flow", key), event.F("backend", x.holder.entry.ID),
+			event.F("tries", len(x.tried)), event.F("waited", acceptTimeout))
+		b.place(now, p, f, &packet, x, out)
+		return b.kept(x)
+	})
+}
+
+// accepted ends the wait for an answer to an opening packet.
+func (b *Balancer) accepted(now time.Time, key currantturn.FlowKey, t *target) {
+	b.flows.Update(key, func(x *entry) *entry {
+		if x != nil && x.progress == placing {
+			x.settle(now, t)
+		}
+		return x
+	})
+}
+
+// found ends a search.
+func (b *Balancer) found(now time.Time, key currantturn.FlowKey, t *target, out *currantturn.Effects) {
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil {
+			x = &entry{}
+		}
+		if x.progress == searching {
+			b.counts.found.Add(1)
+			out.Event(event.FlowFound, event.F("flow", key), event.F("backend", t.entry.ID), event.F("elapsed", now.Sub(x.asked)))
+		}
+		x.settle(now, t)
+		return x
+	})
+}
+
+// absent takes an agent's no to a search.
+func (b *Balancer) absent(now time.Time, key currantturn.FlowKey, t *target, out *currantturn.Effects) {
+	p := b.plan.Load()
+	f := p.routes[key.Service]
+	if f == nil {
+		return
+	}
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil || x.progress != searching {
+			return x
+		}
+		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
+		b.rule(now, p, f, t, &packet, x, out)
+		return b.kept(x)
+	})
+}
+
+// rule takes one no; if nobody holds the flow, its caller is told at once.
+func (b *Balancer) rule(
+	now time.Time, p *plan, f *currantturn.FlowRoute, t *target, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	if !x.rule(t.entry.ID, p.holders(f)) {
+		return
+	}
+	b.counts.absent.Add(1)
+	b.lost(now, packet, x, "nobody holds the flow", out)
+}
+
+// lost resets a flow that no backend server holds, and forgets it.
+func (b *Balancer) lost(now time.Time, packet *currantturn.Packet, x *entry, reason string, out *currantturn.Effects) {
+	closing := !x.closed.IsZero() || packet.Mark == currantturn.MarkReset || packet.Mark == currantturn.MarkClosing
+	*x = entry{seen: now}
+	if !closing {
+		b.reset(packet, reason, out)
+	}
+}
+
+// reset tells the caller that its flow is refused or gone.
+func (b *Balancer) reset(packet *currantturn.Packet, reason string, out *currantturn.Effects) {
+	if packet.Mark == currantturn.MarkReset {
+		return
+	}
+	out.Event(event.FlowReset, event.F("flow", packet.Flow), event.F("reason", reason))
+	out.Answers = append(out.Answers, currantturn.Packet{Flow: packet.Flow, Mark: currantturn.MarkReset, Payload: b.opts.Codec.Reset(packet)})
+}
--- /dev/null
+++ b/internal/coordination/steering/target.go
@@ -0,0 +1,192 @@
+package steering
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/placement"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/state/roster"
+)
+
+// target is one incarnation of a backend server behind its agent.
+type target struct {
+	entry roster.Entry
+	agent netip.AddrPort // link address
+
+	mu       sync.Mutex
+	load     relay.Load
+	reported time.Time
+	sent     int // flows sent since the last report
+	avoid    time.Time
+	warm     time.Time // end of the warm-up
+}
+
+// report takes the load that the agent tells.
+func (t *target) report(now time.Time, load relay.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load, t.reported, t.sent = load, now, 0
+	switch {
+	case load.Silent:
+		t.avoid = now.Add(avoidFor)
+	default:
+		t.avoid = time.Time{}
+	}
+}
+
+func (t *target) shun(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.avoid = now.Add(avoidFor)
+}
+
+// candidate is the target as placement compares it.
+func (t *target) candidate(now time.Time, local currantturn.FailureDomain) placement.Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := placement.Candidate{
+		Slots:  t.entry.Slots,
+		Sent:   t.sent,
+		Local:  t.entry.FailureDomain == local,
+		Avoid:  now.Before(t.avoid),
+		WarmUp: now.Before(t.warm),
+	}
+	if now.Sub(t.reported) < reportTimeout {
+		c.Running, c.Flows, c.Service = t.load.Running, t.load.Flows, t.load.Service()
+	}
+	return c
+}
+
+func (t *target) take() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+}
+
+// plan is the published state in the form in which packets need it; it is never
+// changed but for the loads of its targets.
+type plan struct {
+	version  currantturn.Version
+	routes   map[netip.AddrPort]*currantturn.FlowRoute
+	earlier  map[netip.AddrPort][]currantturn.ServiceName // that a route led to before
+	ready    map[currantturn.ServiceName][]*target        // may get new flows
+	services map[currantturn.ServiceName][]*target        // may hold flows
+	all      []*target                                    // one for each agent
+	byAgent  map[netip.AddrPort]*target
+}
+
+// newPlan keeps the loads of the targets that an older plan knows. Of several
+// registrations with one address the youngest counts: the others ended.
+func newPlan(now time.Time, s *published, old *plan) *plan {
+	p := &plan{
+		version:  s.routing.Version,
+		routes:   make(map[netip.AddrPort]*currantturn.FlowRoute, len(s.routing.Routes)),
+		earlier:  make(map[netip.AddrPort][]currantturn.ServiceName),
+		ready:    make(map[currantturn.ServiceName][]*target),
+		services: make(map[currantturn.ServiceName][]*target),
+		byAgent:  make(map[netip.AddrPort]*target),
+	}
+	p.route(s.routing, old)
+	for i := range s.servers {
+		e := &s.servers[i]
+		agent := netip.AddrPortFrom(e.Address.Addr(), s.agentPort)
+		if other := p.byAgent[agent]; other != nil && !supersedes(e, &other.entry) {
+			continue
+		}
+		p.byAgent[agent] = newTarget(now, e, agent, old)
+	}
+	for i := range s.servers {
+		t := p.byAgent[netip.AddrPortFrom(s.servers[i].Address.Addr(), s.agentPort)]
+		if t.entry.ID != s.servers[i].ID {
+			continue
+		}
+		p.all = append(p.all, t)
+		p.services[t.entry.Service] = append(p.services[t.entry.Service], t)
+		if t.entry.Placeable() {
+			p.ready[t.entry.Service] = append(p.ready[t.entry.Service], t)
+		}
+	}
+	return p
+}
+
+// supersedes says whether registration a stands for the backend server at an
+// address that b names as well.
+func supersedes(a, b *roster.Entry) bool {
+	if a.Gone.IsZero() != b.Gone.IsZero() {
+		return a.Gone.IsZero()
+	}
+	if !a.Gone.IsZero() {
+		return a.Gone.After(b.Gone)
+	}
+	return a.Born.After(b.Born)
+}
+
+func newTarget(now time.Time, e *roster.Entry, agent netip.AddrPort, old *plan) *target {
+	t := &target{entry: *e, agent: agent}
+	if e.WarmUp > 0 {
+		t.warm = now.Add(e.WarmUp)
+	}
+	if old == nil {
+		return t
+	}
+	was := old.byAgent[agent]
+	if was == nil || was.entry.ID != e.ID || !was.entry.Born.Equal(e.Born) {
+		return t
+	}
+	was.mu.Lock()
+	defer was.mu.Unlock()
+	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
+	if was.entry.WarmUp == e.WarmUp {
+		t.warm = was.warm // no news of the warm-up
+	}
+	return t
+}
+
+func (p *plan) route(r *currantturn.Routing, old *plan) {
+	for i := range r.Routes {
+		f := &r.Routes[i]
+		p.routes[f.Address] = f
+		if old == nil {
+			continue
+		}
+		p.earlier[f.Address] = old.earlier[f.Address]
+		if was := old.routes[f.Address]; was != nil {
+			for _, s := range was.Shares {
+				p.remember(f, s.Service)
+			}
+		}
+	}
+}
+
+// remember adds a service that the route leads to no more.
+func (p *plan) remember(f *currantturn.FlowRoute, s currantturn.ServiceName) {
+	for _, known := range p.earlier[f.Address] {
+		if known == s {
+			return
+		}
+	}
+	for _, now := range f.Shares {
+		if now.Service == s {
+			return
+		}
+	}
+	p.earlier[f.Address] = append(p.earlier[f.Address][:len(p.earlier[f.Address]):len(p.earlier[f.Address])], s)
+}
+
+// holders lists the targets that may hold a flow of the route.
+func (p *plan) holders(f *currantturn.FlowRoute) []*target {
+	if len(p.all) <= searchAll {
+		return p.all
+	}
+	var all []*target
+	for _, s := range f.Shares {
+		all = append(all, p.services[s.Service]...)
+	}
+	for _, s := range p.earlier[f.Address] {
+		all = append(all, p.services[s]...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/core/flow_agent.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/holding"
+	"github.com/currantturn/currantturn/internal/transport/datagram"
+)
+
+// FlowAgentOptions are an agent of opaque flows and its surroundings.
+type FlowAgentOptions struct {
+	Name       currantturn.BackendID
+	Codec      currantturn.PacketCodec
+	Service    currantturn.ServiceName
+	Link       netip.AddrPort
+	Outbound   netip.AddrPort // the backend server sends here
+	Backend    netip.AddrPort // and takes packets here
+	CallerPort uint16         // at which callers take packets
+	Fresh      bool           // no flow is older than this process
+	Clock      func() time.Time
+	Report     func(currantturn.Event)
+}
+
+// FlowAgent is a running agent of opaque flows.
+type FlowAgent struct {
+	*holding.Agent
+	node     *relayNode
+	outbound *datagram.Socket
+	cancel   context.CancelFunc
+}
+
+// StartFlowAgent binds the sockets and serves.
+func StartFlowAgent(opts FlowAgentOptions) (*FlowAgent, error) {
+	link, err := datagram.Listen(opts.Link)
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := datagram.Listen(opts.Outbound)
+	if err != nil {
+		_ = link.Close()
+		return nil, err
+	}
+	a := &FlowAgent{
+		Agent: holding.New(holding.Options{
+			Codec: opts.Codec, Service: opts.Service, Backend: opts.Name,
+			LinkPort: opts.Link.Port(), Started: opts.Clock(), Fresh: opts.Fresh,
+		}),
+		outbound: outbound,
+	}
+	a.node = &relayNode{
+		clock: opts.Clock, codec: opts.Codec, link: link, own: a.Service, report: opts.Report,
+		deliver: func(p *currantturn.Packet) error { return outbound.Write(opts.Backend, p.Payload) },
+		answer: func(p *currantturn.Packet) error {
+			return link.Write(netip.AddrPortFrom(p.Flow.Caller.Addr(), opts.CallerPort), p.Payload)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	go a.serve(link, a.fromBalancer)
+	go a.serve(outbound, a.fromBackend)
+	go a.node.tick(ctx, a.Tick)
+	return a, nil
+}
+
+func (a *FlowAgent) serve(s *datagram.Socket, take func(netip.AddrPort, []byte)) {
+	if err := s.Serve(take); err != nil {
+		a.node.failed(netip.AddrPort{}, err)
+	}
+}
+
+func (a *FlowAgent) fromBalancer(from netip.AddrPort, frame []byte) {
+	a.node.receive(from, frame, a, func(netip.AddrPort, currantturn.Message) {})
+}
+
+func (a *FlowAgent) fromBackend(from netip.AddrPort, packet []byte) {
+	var p currantturn.Packet
+	if err := a.node.codec.Decode(packet, currantturn.ToCaller, &p); err != nil {
+		a.node.unreadable(from, err)
+		return
+	}
+	a.node.decide(func(now time.Time, out *currantturn.Effects) { a.Answer(now, &p, out) })
+}
+
+// Close stops the agent.
+func (a *FlowAgent) Close() error {
+	a.cancel()
+	_ = a.outbound.Close() // nothing is buffered
+	return a.node.link.Close()
+}
--- /dev/null
+++ b/internal/core/flow_balancer.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/coordination/steering"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/transport/datagram"
+)
+
+// FlowBalancerOptions are a balancer of opaque flows and its surroundings.
+type FlowBalancerOptions struct {
+	Codec       currantturn.PacketCodec
+	Store       currantturn.Store
+	Domain      currantturn.FailureDomain
+	Link        netip.AddrPort
+	Callers     netip.AddrPort   // callers' packets arrive here
+	State       netip.AddrPort   // the published state is read here by other balancers
+	Seeds       []netip.AddrPort // state addresses of other balancers
+	ApplyWithin time.Duration
+	Seed        uint64
+	// Pull reads the published state at another balancer's state address.
+	Pull   func(context.Context, netip.AddrPort) (publication.State, error)
+	Clock  func() time.Time
+	Report func(currantturn.Event)
+}
+
+// FlowBalancer is a running balancer of opaque flows.
+type FlowBalancer struct {
+	*steering.Balancer
+	opts     FlowBalancerOptions
+	feed     *publication.Feed
+	node     *relayNode
+	callers  *datagram.Socket
+	pulling  atomic.Bool
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+}
+
+// StartFlowBalancer binds the sockets, reads the store and serves.
+func StartFlowBalancer(opts FlowBalancerOptions) (*FlowBalancer, error) {
+	link, err := datagram.Listen(opts.Link)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := datagram.Listen(opts.Callers)
+	if err != nil {
+		_ = link.Close()
+		return nil, err
+	}
+	seeds := make([]netip.AddrPort, len(opts.Seeds))
+	for i, s := range opts.Seeds {
+		seeds[i] = netip.AddrPortFrom(s.Addr(), opts.Link.Port())
+	}
+	b := &FlowBalancer{
+		Balancer: steering.New(steering.Options{
+			Codec: opts.Codec, Domain: opts.Domain, AgentPort: opts.Link.Port(), Seed: opts.Seed,
+		}),
+		opts:    opts,
+		callers: callers,
+		feed: publication.New(opts.Clock(), publication.Options{
+			Self: opts.Link, Seeds: seeds, Seed: opts.Seed, ApplyWithin: opts.ApplyWithin,
+		}),
+	}
+	b.node = &relayNode{
+		clock: opts.Clock, codec: opts.Codec, link: link, report: opts.Report,
+		own: func() currantturn.ServiceName { return "" },
+		answer: func(p *currantturn.Packet) error {
+			return callers.Write(netip.AddrPortFrom(p.Flow.Caller.Addr(), opts.Callers.Port()), p.Payload)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	go b.serve(link, b.fromProcess)
+	go b.serve(callers, b.fromCaller)
+	go b.node.tick(ctx, b.tick)
+	go b.read(ctx)
+	return b, nil
+}
+
+// Serving says whether the routers may send packets here.
+func (b *FlowBalancer) Serving() bool {
+	return b.Ready() && !b.stopping.Load()
+}
+
+// Stopping takes the balancer out of the routers' rotation; it goes on with
+// the packets that still arrive.
+func (b *FlowBalancer) Stopping() {
+	b.stopping.Store(true)
+}
+
+// Published returns the newest published state.
+func (b *FlowBalancer) Published() publication.State {
+	return b.feed.State()
+}
+
+// Close stops the balancer.
+func (b *FlowBalancer) Close() error {
+	b.cancel()
+	_ = b.callers.Close() // nothing is buffered
+	return b.node.link.Close()
+}
+
+func (b *FlowBalancer) serve(s *datagram.Socket, take func(netip.AddrPort, []byte)) {
+	if err := s.Serve(take); err != nil {
+		b.node.failed(netip.AddrPort{}, err)
+	}
+}
+
+func (b *FlowBalancer) fromCaller(from netip.AddrPort, packet []byte) {
+	e := currantturn.Envelope{Direction: currantturn.ToBackend}
+	if err := b.node.codec.Decode(packet, currantturn.ToBackend, &e.Packet); err != nil {
+		b.node.unreadable(from, err)
+		return
+	}
+	b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Route(now, netip.AddrPort{}, &e, out) })
+}
+
+func (b *FlowBalancer) fromProcess(from netip.AddrPort, frame []byte) {
+	b.node.receive(from, frame, b, func(from netip.AddrPort, m currantturn.Message) {
+		if h, ok := m.(publication.Heartbeat); ok {
+			if b.feed.Handle(b.node.clock(), from, h) && b.pulling.CompareAndSwap(false, true) {
+				go b.pull(from)
+			}
+			return
+		}
+		b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Handle(now, from, m, out) })
+	})
+}
+
+func (b *FlowBalancer) tick(now time.Time, out *currantturn.Effects) {
+	if b.feed.Tick(now, out) {
+		b.Publish(now, b.feed.State(), out)
+	}
+	b.Tick(now, out)
+}
+
+// pullTimeout bounds the reading of another balancer's state.
+const pullTimeout = time.Second
+
+// pull takes the newer state of another balancer.
+func (b *FlowBalancer) pull(peer netip.AddrPort) {
+	defer b.pulling.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	s, err := b.opts.Pull(ctx, netip.AddrPortFrom(peer.Addr(), b.opts.State.Port()))
+	if err != nil {
+		b.node.failed(peer, err)
+		return
+	}
+	b.node.decide(func(now time.Time, out *currantturn.Effects) {
+		b.feed.Pulled(s, out)
+		b.Publish(now, b.feed.State(), out)
+		out.Event(event.StatePulled, event.F("peer", peer), event.F("revision", s.Revision))
+	})
+}
+
+// read carries out the feed's steps until the context ends.
+func (b *FlowBalancer) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch plan := b.feed.Next(b.node.clock()); plan.Step {
+		case publication.StepList:
+			b.list(ctx)
+		case publication.StepWatch:
+			l, err := b.opts.Store.Watch(ctx, plan.After, plan.Wait)
+			b.took(err, func(now time.Time, out *currantturn.Effects) { b.feed.Watched(now, l, out) }, len(l.Items) > 0)
+		default:
+			select {
+			case <-ctx.Done():
+			case <-time.After(plan.Wait):
+			}
+		}
+	}
+}
+
+func (b *FlowBalancer) list(ctx context.Context) {
+	began := b.node.clock()
+	routing, err := b.opts.Store.Configuration(ctx)
+	if err == nil {
+		var servers currantturn.Listing
+		if servers, err = b.opts.Store.Registrations(ctx); err == nil {
+			b.took(nil, func(now time.Time, out *currantturn.Effects) {
+				b.feed.Listed(now, began, routing, servers, out)
+			}, true)
+			return
+		}
+	}
+	b.took(err, nil, false)
+}
+
+// took hands the result of a read to the feed and puts what changed in force.
+func (b *FlowBalancer) took(err error, take func(time.Time, *currantturn.Effects), changed bool) {
+	b.node.decide(func(now time.Time, out *currantturn.Effects) {
+		if err != nil {
+			b.feed.Failed(now, errors.Is(err, currantturn.ErrCompacted), err, out)
+			return
+		}
+		take(now, out)
+		if changed {
+			b.Publish(now, b.feed.State(), out)
+			b.feed.Beat(now, out)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/transport/datagram"
+)
+
+// relayTick is the period of the machines of opaque flows: their shortest
+// timeout is 40 ms.
+const relayTick = 10 * time.Millisecond
+
+// relayNode carries out the effects of a machine of opaque flows.
+type relayNode struct {
+	clock   func() time.Time
+	codec   currantturn.PacketCodec
+	link    *datagram.Socket // to other processes
+	own     func() currantturn.ServiceName
+	deliver func(*currantturn.Packet) error // nil at a balancer
+	answer  func(*currantturn.Packet) error
+	report  func(currantturn.Event)
+	pool    sync.Pool
+}
+
+// work is what one decision needs; it is reused.
+type relayWork struct {
+	out   currantturn.Effects
+	frame []byte
+}
+
+func (n *relayNode) decide(f func(now time.Time, out *currantturn.Effects)) {
+	w, ok := n.pool.Get().(*relayWork)
+	if !ok {
+		w = &relayWork{frame: make([]byte, 0, relay.MaxBytes)}
+	}
+	f(n.clock(), &w.out)
+	n.carry(w)
+	w.out.Reset()
+	n.pool.Put(w)
+}
+
+func (n *relayNode) carry(w *relayWork) {
+	for i := range w.out.Delivers {
+		n.failed(netip.AddrPort{}, n.deliver(&w.out.Delivers[i]))
+	}
+	for i := range w.out.Answers {
+		n.failed(w.out.Answers[i].Flow.Caller, n.answer(&w.out.Answers[i]))
+	}
+	for i := range w.out.Forwards {
+		f := &w.out.Forwards[i]
+		w.frame = relay.AppendPacket(w.frame[:0], &f.Envelope)
+		n.failed(f.To, n.link.Write(f.To, w.frame))
+	}
+	for _, s := range w.out.Sends {
+		frame, err := relay.AppendMessage(w.frame[:0], s.Message)
+		if err == nil {
+			err = n.link.Write(s.To, frame)
+		}
+		n.failed(s.To, err)
+	}
+	for _, e := range w.out.Events {
+		n.report(e)
+	}
+}
+
+// failed reports a packet that could not be sent; its sender repeats it.
+func (n *relayNode) failed(peer netip.AddrPort, err error) {
+	if err != nil {
+		n.report(currantturn.Event{Number: event.RelayFailed, Fields: []currantturn.Field{
+			event.F("peer", peer), event.F("error", err),
+		}})
+	}
+}
+
+// unreadable reports a datagram that does not decode.
+func (n *relayNode) unreadable(from netip.AddrPort, err error) {
+	n.report(currantturn.Event{Number: event.PacketUnreadable, Fields: []currantturn.Field{
+		event.F("peer", from), event.F("error", err),
+	}})
+}
+
+// receive takes a frame of another process.
+func (n *relayNode) receive(
+	from netip.AddrPort, frame []byte, router currantturn.Router, message func(netip.AddrPort, currantturn.Message),
+) {
+	e := currantturn.Envelope{Direction: currantturn.ToBackend}
+	m, err := relay.Decode(frame, n.own(), &e)
+	if err == nil && m == nil {
+		intent := e.Intent
+		err = n.codec.Decode(e.Packet.Payload, currantturn.ToBackend, &e.Packet)
+		e.Intent = intent
+	}
+	switch {
+	case err != nil:
+		n.unreadable(from, err)
+	case m != nil:
+		message(from, m)
+	default:
+		n.decide(func(now time.Time, out *currantturn.Effects) { router.Route(now, from, &e, out) })
+	}
+}
+
+// tick calls f until the context ends.
+func (n *relayNode) tick(ctx context.Context, f func(now time.Time, out *currantturn.Effects)) {
+	t := time.NewTicker(relayTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.decide(f)
+		}
+	}
+}
--- a/internal/event/definition.go
+++ b/internal/event/definition.go
@@ -46,6 +46,7 @@
 		{500, "Requests", requestDefinitions},
 		{600, "Trust", trustDefinitions},
 		{700, "Transport", transportDefinitions},
+		{800, "Opaque flows", slices.Concat(publicationDefinitions, steeringDefinitions)},
 	}
 }
 
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -94,10 +94,15 @@
 	return suppressed, true
 }
 
-// fieldValue keeps errors readable in JSON lines.
+// fieldValue keeps errors, flows and durations readable in JSON lines.
 func fieldValue(v any) any {
-	if err, ok := v.(error); ok {
-		return err.Error()
+	switch v := v.(type) {
+	case error:
+		return v.Error()
+	case currantturn.FlowKey:
+		return v.String()
+	case time.Duration:
+		return v.String()
 	}
 	return v
 }
--- /dev/null
+++ b/internal/event/publication.go
@@ -0,0 +1,22 @@
+package event
+
+// Numbers of the events of what the store publishes.
+const (
+	StoreLost              = 801
+	StoreRegained          = 802
+	RoutingInForce         = 803
+	RegistrationSeen       = 804
+	RegistrationGone       = 805
+	RegistrationUnreadable = 806
+	StatePulled            = 807
+)
+
+var publicationDefinitions = []Definition{
+	{StoreLost, "store_lost", Warning, "store does not answer this process", fields("error")},
+	{StoreRegained, "store_regained", Info, "store answers again", fields("failures")},
+	{RoutingInForce, "routing_in_force", Info, "published configuration is in force", fields("version routes")},
+	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state revision")},
+	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; untrusted ones may come back", fields("backend revision trusted")},
+	{RegistrationUnreadable, "registration_unreadable", Warning, "item of the store can't be read and names nothing", fields("key error")},
+	{StatePulled, "state_pulled", Info, "newer published state was taken from another balancer", fields("peer revision version")},
+}
--- /dev/null
+++ b/internal/event/steering.go
@@ -0,0 +1,34 @@
+package event
+
+// Numbers of the events of opaque flows.
+const (
+	FlowDeclined     = 821
+	FlowUnanswered   = 822
+	FlowFound        = 823
+	FlowReset        = 824
+	FlowForgotten    = 825
+	BackendSilent    = 826
+	BackendAnswers   = 827
+	FlowForeign      = 828
+	PacketUnreadable = 829
+	SettingsReloaded = 831
+	SettingsRejected = 832
+	RelayFailed      = 833
+	LogLinesLeftOut  = 834
+)
+
+var steeringDefinitions = []Definition{
+	{FlowDeclined, "flow_declined", Info, "backend server did not take a new flow; it is placed elsewhere", fields("flow backend tries")},
+	{FlowUnanswered, "flow_unanswered", Info, "opening packet was not answered in time; the flow is placed elsewhere", fields("flow backend tries waited")},
+	{FlowFound, "flow_found", Debug, "search found the flow's holder", fields("flow backend elapsed")},
+	{FlowReset, "flow_reset", Info, "caller was told that its flow is refused or gone", fields("flow reason")},
+	{FlowForgotten, "flow_forgotten", Info, "backend server does not know an open flow any more; its caller is told", fields("flow backend")},
+	{BackendSilent, "backend_silent", Warning, "backend server does not answer opening packets", fields("backend unanswered waited")},
+	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
+	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned", fields("flow service")},
+	{PacketUnreadable, "packet_unreadable", Warning, "datagram is no packet of a flow", fields("peer error")},
+	{SettingsReloaded, "settings_reloaded", Info, "changed settings are in force", fields("path service")},
+	{SettingsRejected, "settings_rejected", Warning, "changed settings have mistakes; the earlier ones stay in force", fields("path error")},
+	{RelayFailed, "relay_failed", Warning, "packet could not be sent", fields("peer error")},
+	{LogLinesLeftOut, "log_lines_left_out", Warning, "log lines were left out since their reader is slow", fields("lines")},
+}
--- a/internal/process/constants.go
+++ b/internal/process/constants.go
@@ -10,4 +10,12 @@
 	// balancerDrain is how long a stopping balancer goes on with packets that
 	// the fabric still sends to it.
 	balancerDrain = 2 * time.Second
+	// rotationDelay is how long a stopping balancer of opaque flows goes on: the
+	// routers ask twice a second and take it out after two misses.
+	rotationDelay = 2500 * time.Millisecond
+	// settingsPoll is how often an agent looks for changed settings, which may
+	// come without a signal.
+	settingsPoll = 500 * time.Millisecond
+	// relayHeaderTimeout bounds the header of a request for readiness or state.
+	relayHeaderTimeout = time.Second
 )
--- /dev/null
+++ b/internal/process/relay.go
@@ -0,0 +1,195 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/command"
+	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/settings"
+	"github.com/currantturn/currantturn/internal/transport/published"
+	"github.com/currantturn/currantturn/platform"
+	"github.com/rotisserie/eris"
+)
+
+// relayParts are what both roles of opaque flows need.
+type relayParts struct {
+	process *command.Process
+	metrics *metric.Registry
+	servers []*http.Server
+}
+
+func (x *relayParts) report(e currantturn.Event) {
+	x.process.Log.Log(time.Now(), e)
+}
+
+// serveHTTP serves a handler at an address; without an address it does nothing.
+func (x *relayParts) serveHTTP(at netip.AddrPort, h http.Handler) error {
+	if !at.IsValid() {
+		return nil
+	}
+	ln, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return eris.Wrapf(err, "listen at %s", at)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: relayHeaderTimeout}
+	x.servers = append(x.servers, s)
+	go func() { _ = s.Serve(ln) }() // ends with Close
+	return nil
+}
+
+func (x *relayParts) close() {
+	for _, s := range x.servers {
+		_ = s.Close()
+	}
+}
+
+// readiness answers the routers.
+func readiness(ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// RunFlowBalancer runs a balancer of opaque flows until its planned stop or
+// the context's end.
+func RunFlowBalancer(ctx context.Context, p *command.Process) error {
+	x := &relayParts{process: p, metrics: metric.NewRegistry()}
+	defer x.close()
+	seed, err := randomSeed()
+	if err != nil {
+		return err
+	}
+	o := p.Options
+	store := platform.NewStore(o.Store.Address, func(key string, err error) {
+		x.report(currantturn.Event{Number: event.RegistrationUnreadable, Fields: []currantturn.Field{
+			event.F("key", key), event.F("error", err),
+		}})
+	})
+	b, err := core.StartFlowBalancer(core.FlowBalancerOptions{
+		Codec: platform.Packets{}, Store: store, Domain: o.Process.FailureDomain,
+		Link: o.Relay.LinkAddress, Callers: o.Relay.CallerAddress, State: o.Relay.StateAddress,
+		Seeds: o.Relay.Seeds, ApplyWithin: o.Store.ApplyWithin, Seed: seed,
+		Pull: published.Read, Clock: time.Now, Report: x.report,
+	})
+	if err != nil {
+		return err
+	}
+	x.metrics.Publish("steering", func() any { return b.Counters() })
+	x.metrics.Publish("store", func() any { return store.Counters() })
+	for at, h := range map[netip.AddrPort]http.Handler{
+		o.Relay.ReadinessAddress: readiness(b.Serving),
+		o.Relay.StateAddress:     published.Handler(func() publication.State { return b.Published() }),
+		o.Relay.MetricsAddress:   x.metrics.Text(),
+	} {
+		if err := x.serveHTTP(at, h); err != nil {
+			_ = b.Close()
+			return err
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return b.Close()
+		case <-p.Reload:
+			x.reload(func(*settings.Options) {})
+		case <-p.Stop:
+			b.Stopping()
+			select {
+			case <-ctx.Done():
+			case <-time.After(rotationDelay):
+			}
+			return b.Close()
+		}
+	}
+}
+
+// RunFlowAgent runs an agent of opaque flows until its planned stop or the
+// context's end.
+func RunFlowAgent(ctx context.Context, p *command.Process) error {
+	x := &relayParts{process: p, metrics: metric.NewRegistry()}
+	defer x.close()
+	o := p.Options
+	a, err := core.StartFlowAgent(core.FlowAgentOptions{
+		Name: currantturn.BackendID(o.Process.Name), Codec: platform.Packets{}, Service: o.Relay.Service,
+		Link: o.Relay.LinkAddress, Outbound: o.Relay.OutboundAddress, Backend: o.Relay.BackendAddress,
+		CallerPort: o.Relay.CallerAddress.Port(), Fresh: o.Relay.FreshStart,
+		Clock: time.Now, Report: x.report,
+	})
+	if err != nil {
+		return err
+	}
+	x.metrics.Publish("holding", func() any { return a.Counters() })
+	for at, h := range map[netip.AddrPort]http.Handler{
+		o.Relay.ReadinessAddress: readiness(func() bool { return true }),
+		o.Relay.MetricsAddress:   x.metrics.Text(),
+	} {
+		if err := x.serveHTTP(at, h); err != nil {
+			_ = a.Close()
+			return err
+		}
+	}
+	changed := time.NewTicker(settingsPoll)
+	defer changed.Stop()
+	known := fileStamp(p.Path)
+	for {
+		select {
+		case <-ctx.Done():
+			return a.Close()
+		case <-p.Stop:
+			return a.Close()
+		case <-p.Reload:
+		case <-changed.C:
+			if fileStamp(p.Path) == known {
+				continue
+			}
+		}
+		known = fileStamp(p.Path)
+		x.reload(func(o *settings.Options) { a.SetService(o.Relay.Service) })
+	}
+}
+
+// stamp tells a changed file from an unchanged one.
+type stamp struct {
+	size     int64
+	modified time.Time
+}
+
+// fileStamp is zero for a file that can't be read, which the reload reports.
+func fileStamp(path string) stamp {
+	i, err := os.Stat(path)
+	if err != nil {
+		return stamp{}
+	}
+	return stamp{i.Size(), i.ModTime()}
+}
+
+// reload applies changed settings; with mistakes in them the earlier ones stay.
+func (x *relayParts) reload(apply func(*settings.Options)) {
+	o, err := settings.Load(x.process.Path)
+	if err == nil && o.Process.Role != x.process.Options.Process.Role {
+		err = eris.Errorf("role changed to %s", o.Process.Role)
+	}
+	if err != nil {
+		x.report(currantturn.Event{Number: event.SettingsRejected, Fields: []currantturn.Field{
+			event.F("path", x.process.Path), event.F("error", err),
+		}})
+		return
+	}
+	apply(o)
+	x.report(currantturn.Event{Number: event.SettingsReloaded, Fields: []currantturn.Field{
+		event.F("path", x.process.Path), event.F("service", o.Relay.Service),
+	}})
+}
--- /dev/null
+++ b/internal/protocol/relay/doc.go
@@ -0,0 +1,3 @@
+// Package relay encodes what balancers and agents of opaque flows send each
+// other: packets with their intent, and the control messages between them.
+package relay
--- /dev/null
+++ b/internal/protocol/relay/message.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/protocol/message"
+)
+
+// Load is the work that an agent sees at its backend server.
+type Load struct {
+	Running   int    `cbor:"1,keyasint"` // requests in progress
+	Flows     int    `cbor:"2,keyasint"` // open flows
+	ServiceUS uint32 `cbor:"3,keyasint"` // mean time of recent answers, microseconds
+	Silent    bool   `cbor:"4,keyasint"` // the backend server does not answer
+}
+
+// Service is the mean time of recent answers.
+func (l *Load) Service() time.Duration {
+	return time.Duration(l.ServiceUS) * time.Microsecond
+}
+
+// Flow is a flow's key on the wire.
+type Flow struct {
+	_       struct{} `cbor:",toarray"`
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+}
+
+// Key returns the flow's key.
+func (f Flow) Key() currantturn.FlowKey {
+	return currantturn.FlowKey{Caller: f.Caller, Service: f.Service}
+}
+
+// Accepted tells the balancer that placed a flow that the backend server
+// answered the opening packet.
+type Accepted struct {
+	Flow Flow `cbor:"1,keyasint"`
+	Load Load `cbor:"2,keyasint"`
+}
+
+// Kind names the message on the wire.
+func (Accepted) Kind() currantturn.Kind { return "accepted" }
+
+// Held tells a balancer that searched that the flow is held here.
+type Held struct {
+	Flow Flow `cbor:"1,keyasint"`
+}
+
+// Kind names the message on the wire.
+func (Held) Kind() currantturn.Kind { return "held" }
+
+// Absent tells a balancer that searched that the flow is not held here.
+type Absent struct {
+	Flow Flow `cbor:"1,keyasint"`
+}
+
+// Kind names the message on the wire.
+func (Absent) Kind() currantturn.Kind { return "absent" }
+
+// Report tells a balancer the present load.
+type Report struct {
+	Load Load `cbor:"1,keyasint"`
+}
+
+// Kind names the message on the wire.
+func (Report) Kind() currantturn.Kind { return "report" }
+
+func init() {
+	message.Register[Accepted]()
+	message.Register[Held]()
+	message.Register[Absent]()
+	message.Register[Report]()
+}
--- a/internal/settings/definition.go
+++ b/internal/settings/definition.go
@@ -55,8 +55,8 @@
 	return d
 }
 
-func (d Definition) only(r currantturn.Role) Definition {
-	d.Roles = []currantturn.Role{r}
+func (d Definition) only(roles ...currantturn.Role) Definition {
+	d.Roles = roles
 	return d
 }
 
@@ -64,22 +64,32 @@
 	return len(d.Roles) == 0 || slices.Contains(d.Roles, r)
 }
 
-// section names the section of its keys, and the one role that has them if any.
-func section(name string, role currantturn.Role, keys ...Definition) []Definition {
+// section names the section of its keys, and the roles that have them; a key
+// may have stated fewer.
+func section(name string, roles []currantturn.Role, keys ...Definition) []Definition {
 	for i := range keys {
 		keys[i].Section = name
-		if role != "" {
-			keys[i] = keys[i].only(role)
+		if len(keys[i].Roles) == 0 {
+			keys[i].Roles = roles
 		}
 	}
 	return keys
 }
 
+// Roles that share sections; without any, a section applies to every role.
+var (
+	balancers  = []currantturn.Role{currantturn.RoleBalancer}
+	agents     = []currantturn.Role{currantturn.RoleAgent}
+	requesting = []currantturn.Role{currantturn.RoleBalancer, currantturn.RoleAgent}
+	relaying   = []currantturn.Role{currantturn.RoleFlowBalancer, currantturn.RoleFlowAgent}
+)
+
 // Definitions returns every key in the order of the docs.
 func Definitions() []Definition {
 	return slices.Concat(
 		processKeys(), platformKeys(), linkKeys(), entryKeys(), trustKeys(),
 		logKeys(), adminKeys(), flowKeys(), requestKeys(), backendKeys(),
+		storeKeys(), relayKeys(),
 	)
 }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -11,9 +12,9 @@
 
 func processKeys() []Definition {
 	return section(
-		"process", "",
+		"process", nil,
 		key("role", "", "Job of the process.",
-			choices(currantturn.RoleBalancer, currantturn.RoleAgent),
+			choices(slices.Concat(requesting, relaying)...),
 			func(o *Options) *currantturn.Role { return &o.Process.Role }).required(),
 		key("name", "", "Name of the VM (balancer) or ID of the backend server (agent).",
 			names[string](), func(o *Options) *string { return &o.Process.Name }).required(),
@@ -27,7 +28,7 @@
 
 func platformKeys() []Definition {
 	return section(
-		"platform", "",
+		"platform", requesting,
 		key("urls", "", "Endpoints of the configuration service, tried in turn.",
 			lists(urls()), func(o *Options) *[]*url.URL { return &o.Platform.URLs }).required(),
 		key("read_timeout", "5s", "Timeout of a read, in addition to the wait of a watch.",
@@ -44,7 +45,7 @@
 
 func linkKeys() []Definition {
 	return section(
-		"link", "",
+		"link", requesting,
 		key("address", "", "UDP address that the system's own processes reach this one at.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Link.Address }).required(),
 		key("advertised_address", "", "Address told to peers; by default the link address.",
@@ -54,7 +55,7 @@
 
 func entryKeys() []Definition {
 	return section(
-		"entry", currantturn.RoleBalancer,
+		"entry", balancers,
 		key("kind", "direct", "How the fabric hands packets over: as they are, or behind a PROXY protocol v2 header.",
 			choices(EntryDirect, EntryProxy), func(o *Options) *EntryKind { return &o.Entry.Kind }),
 		key("addresses", "", "UDP addresses that callers' packets arrive at; without them a direct entry follows the configuration.",
@@ -66,7 +67,7 @@
 
 func trustKeys() []Definition {
 	return section(
-		"trust", "",
+		"trust", requesting,
 		key("ca_file", "", "Certificate of the fleet's authority, PEM.",
 			files(), func(o *Options) *string { return &o.Trust.CAFile }).required(),
 		key("certificate_file", "", "Certificate of this process, PEM.",
@@ -84,7 +85,7 @@
 
 func logKeys() []Definition {
 	return section(
-		"log", "",
+		"log", nil,
 		key("format", "text", "Form of log lines.",
 			choices(event.Text, event.JSON), func(o *Options) *event.Format { return &o.Log.Format }),
 		key("level", "info", "Least severe level that is logged.",
@@ -94,7 +95,7 @@
 
 func adminKeys() []Definition {
 	return section(
-		"admin", "",
+		"admin", requesting,
 		key("address", "", "TCP address of the administration API; without one it is off.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Admin.Address }),
 		key("ca_file", "", "Certificate of the authority that signs operators' certificates, PEM.",
@@ -110,7 +111,7 @@
 
 func flowKeys() []Definition {
 	return section(
-		"flows", "",
+		"flows", requesting,
 		key("idle_timeout", "2m", "Time without packets after which a flow is forgotten.",
 			durations(10*time.Second, 24*time.Hour),
 			func(o *Options) *time.Duration { return &o.Flows.IdleTimeout }).only(currantturn.RoleAgent),
@@ -125,7 +126,7 @@
 
 func requestKeys() []Definition {
 	return section(
-		"requests", currantturn.RoleAgent,
+		"requests", agents,
 		key("retention", "15m", "How long the claim, outcome and answer of a request are kept.",
 			durations(time.Minute, 24*time.Hour), func(o *Options) *time.Duration { return &o.Requests.Retention }),
 		key("record_store_bytes", "16MiB", "Memory for records; a new request beyond it is not run.",
@@ -141,7 +142,7 @@
 
 func backendKeys() []Definition {
 	return section(
-		"backend", currantturn.RoleAgent,
+		"backend", agents,
 		key("service", "", "Service that the backend server belongs to.",
 			names[currantturn.ServiceName](),
 			func(o *Options) *currantturn.ServiceName { return &o.Backend.Service }).required(),
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/currantturn/currantturn"
@@ -74,7 +75,7 @@
 // role returns the role that the file states, or none if it states no valid one.
 func (r *reader) role() currantturn.Role {
 	role := currantturn.Role(r.file.Section("process").Key("role").Value())
-	if role == currantturn.RoleBalancer || role == currantturn.RoleAgent {
+	if slices.Contains(slices.Concat(requesting, relaying), role) {
 		return role
 	}
 	return ""
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -30,6 +30,8 @@
 	Flows    Flows
 	Requests Requests
 	Backend  Backend
+	Store    Store
+	Relay    Relay
 }
 
 // Process identifies the process.
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -74,9 +74,13 @@
 
 func roleText(roles []currantturn.Role) string {
 	if len(roles) == 0 {
-		return "both"
+		return "all"
 	}
-	return string(roles[0])
+	texts := make([]string, len(roles))
+	for i, r := range roles {
+		texts[i] = string(r)
+	}
+	return strings.Join(texts, ", ")
 }
 
 func defaultText(d *Definition) string {
--- /dev/null
+++ b/internal/state/roster/doc.go
@@ -0,0 +1,3 @@
+// Package roster keeps the registrations of backend servers, those that left
+// or lapsed for a while included.
+package roster
--- /dev/null
+++ b/internal/transport/datagram/doc.go
@@ -0,0 +1,2 @@
+// Package datagram reads and writes UDP sockets.
+package datagram
--- /dev/null
+++ b/internal/transport/published/doc.go
@@ -0,0 +1,2 @@
+// Package published carries the published state from one balancer to another.
+package published
--- a/names.go
+++ b/names.go
@@ -31,4 +31,7 @@
 const (
 	RoleBalancer Role = "balancer"
 	RoleAgent    Role = "agent"
+
+	RoleFlowBalancer Role = "flow_balancer" // of flows whose data stays opaque
+	RoleFlowAgent    Role = "flow_agent"
 )
--- a/packet.go
+++ b/packet.go
@@ -8,6 +8,11 @@
 	Service netip.AddrPort
 }
 
+// String returns the flow's ID in logs: caller and service address.
+func (k FlowKey) String() string {
+	return k.Caller.String() + ">" + k.Service.String()
+}
+
 // Mark tells what a packet does to its flow.
 type Mark string
 
@@ -17,6 +22,7 @@
 	MarkOpening Mark = "opening"
 	MarkData    Mark = "data"
 	MarkClosing Mark = "closing"
+	MarkReset   Mark = "reset" // ends the flow at once
 )
 
 // Packet is one datagram of a caller, or an answer to one.
@@ -24,6 +30,25 @@
 	Flow    FlowKey
 	Mark    Mark
 	Payload []byte
+
+	// The fields below are set by a PacketCodec only.
+	Sequence uint32 // of the first byte of data
+	Acked    uint32 // next byte expected from the other end; in a caller's opening packet, how many copies came before
+	DataSize int    // bytes of data
+	Bounced  bool   // returned by a backend server that does not hold the flow
+	Tag      uint32 // travels to the backend server and comes back in a bounce
+}
+
+// PacketCodec reads and writes the headers of packets whose data stays opaque.
+type PacketCodec interface {
+	// Decode reads a whole datagram, which the packet's Payload then aliases; it
+	// returns ErrMalformed for anything that is no packet. Bounced packets have
+	// the direction in which they were sent at first.
+	Decode(datagram []byte, d Direction, p *Packet) error
+	// SetTag writes the tag into an encoded packet.
+	SetTag(datagram []byte, tag uint32)
+	// Reset encodes the answer that ends the flow of a caller's packet.
+	Reset(p *Packet) []byte
 }
 
 // Direction tells which way an envelope carries its packet.
@@ -43,6 +68,10 @@
 	IntentRoute Intent = "route" // the receiver decides where the flow is
 	IntentPlace Intent = "place" // the receiver is chosen to hold a new flow
 	IntentHeld  Intent = "held"  // the receiver is recorded as the flow's holder
+
+	IntentSearch   Intent = "search"   // the receiver delivers the packet if it holds the flow
+	IntentAbsent   Intent = "absent"   // returned: the flow is not held here
+	IntentDeclined Intent = "declined" // returned: the new flow was not taken
 )
 
 // MaxRanks is how many ranked backend servers an envelope names.
