Queue requests at the agent, those that can still be in time first

An agent now keeps requests beyond its backend server's slots and releases those first that can still be in time, by priority; one release in six goes to a late one; what its caller gave up on is dropped and has not run.

Ruled out: store and start-up, balancers are ready 30 ms after their start.

--- /dev/null
+++ b/internal/coordination/backlog/backlog.go
@@ -0,0 +1,106 @@
+package backlog
+
+import (
+	"time"
+
+	"github.com/currantturn/currantturn"
+)
+
+// Request is one waiting request.
+type Request struct {
+	Flow    currantturn.FlowKey
+	Arrived time.Time // when its caller began this attempt, as far as known
+	Demand  currantturn.Demand
+}
+
+// late says whether the request can't be answered within its objective any
+// more, if an answer takes as long as expected.
+func (r *Request) late(now time.Time, expected time.Duration) bool {
+	return r.Demand.Objective > 0 && now.Add(expected).After(r.Arrived.Add(r.Demand.Objective))
+}
+
+// expired says whether the caller has given up.
+func (r *Request) expired(now time.Time) bool {
+	return r.Demand.Timeout > 0 && now.Sub(r.Arrived) >= r.Demand.Timeout
+}
+
+// Backlog is a bounded set of waiting requests; it is not safe for concurrent
+// use.
+type Backlog struct {
+	waiting []Request // in order of arrival here
+	passed  int       // requests released since a late one was
+}
+
+// Len returns how many requests wait.
+func (b *Backlog) Len() int {
+	return len(b.waiting)
+}
+
+// Push adds a request, unless the backlog is full.
+func (b *Backlog) Push(r Request) bool {
+	if len(b.waiting) >= MaxWaiting {
+		return false
+	}
+	b.waiting = append(b.waiting, r)
+	return true
+}
+
+// Remove takes out the request of a flow, if one waits.
+func (b *Backlog) Remove(flow currantturn.FlowKey) {
+	for i := range b.waiting {
+		if b.waiting[i].Flow == flow {
+			b.cut(i)
+			return
+		}
+	}
+}
+
+func (b *Backlog) cut(i int) {
+	b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+}
+
+// Expire takes out the requests whose callers have given up.
+func (b *Backlog) Expire(now time.Time) (gone []Request) {
+	kept := b.waiting[:0]
+	for _, r := range b.waiting {
+		if r.expired(now) {
+			gone = append(gone, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	b.waiting = kept
+	return gone
+}
+
+// Next takes out the request to run next when a slot is free. It answers the
+// load after an outage, when callers come back all at once: in plain order of
+// arrival everybody would be late until the backlog is gone. Requests that can
+// still be answered in time go first, by priority and then by arrival; late
+// ones get the slots that are left, and at least one in lateShare.
+func (b *Backlog) Next(now time.Time, expected time.Duration) (Request, bool) {
+	timely, late := -1, -1
+	for i := range b.waiting {
+		best := &timely
+		if b.waiting[i].late(now, expected) {
+			best = &late
+		}
+		if *best < 0 || b.waiting[i].Demand.Priority < b.waiting[*best].Demand.Priority {
+			*best = i
+		}
+	}
+	at := timely
+	if timely < 0 || late >= 0 && b.passed >= lateShare-1 {
+		at = late
+	}
+	if at < 0 {
+		return Request{}, false
+	}
+	b.passed++
+	if at == late {
+		b.passed = 0
+	}
+	r := b.waiting[at]
+	b.cut(at)
+	return r, true
+}
--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/backlog"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/state/shard"
 )
 
@@ -30,6 +32,7 @@
 	service atomic.Pointer[currantturn.ServiceName]
 	flows   *shard.Map[currantturn.FlowKey, record]
 	work    work
+	waits   *metric.Histogram // from a request's arrival until it runs, if it had to wait
 	counts  counts
 
 	mu         sync.Mutex // guards the fields below
@@ -39,6 +42,8 @@
 	silent     time.Time // since when the backend server counts as silent
 	tried      time.Time // last opening packet to a silent backend server
 	sweepAt    int
+	slots      int // of the backend server, 0 if unknown
+	backlog    backlog.Backlog
 }
 
 // unanswered is an opening packet that the backend server got.
@@ -48,7 +53,7 @@
 }
 
 type counts struct {
-	delivered, bounced, returned, declined, forgotten, answers, foreign, full atomic.Uint64
+	delivered, bounced, returned, declined, forgotten, answers, foreign, full, waited, gaveUp atomic.Uint64
 }
 
 // Counters are an agent's totals since its start.
@@ -61,6 +66,8 @@
 	Forgotten uint64 `json:"forgotten"` // open flows that the backend server did not know any more
 	Foreign   uint64 `json:"foreign"`   // packets for another service
 	Full      uint64 `json:"full"`      // flows beyond the bound of those known
+	Waited    uint64 `json:"waited"`    // requests that waited for a slot
+	GaveUp    uint64 `json:"gave_up"`   // requests whose callers gave up while they waited
 	Flows     int    `json:"flows"`     // flows known at present
 	Running   int    `json:"running"`   // requests in progress at present
 }
@@ -74,6 +81,7 @@
 		opts:      opts,
 		flows:     shard.New[currantturn.FlowKey, record](opts.Flows),
 		balancers: make(map[netip.AddrPort]*listener),
+		waits:     metric.NewHistogram(),
 	}
 	a.SetService(opts.Service)
 	return a
@@ -96,6 +104,7 @@
 		Delivered: c.delivered.Load(), Answers: c.answers.Load(), Bounced: c.bounced.Load(),
 		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
 		Foreign: c.foreign.Load(), Full: c.full.Load(),
+		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(),
 		Flows: a.flows.Len(), Running: a.work.load(time.Time{}).Running,
 	}
 }
@@ -135,6 +144,7 @@
 		a.end(r)
 		return false
 	})
+	a.release(now, out)
 	a.report(now, out)
 }
 
--- a/internal/coordination/holding/answer.go
+++ b/internal/coordination/holding/answer.go
@@ -31,6 +31,7 @@
 		return r
 	})
 	out.Answers = append(out.Answers, *p)
+	a.release(now, out)
 }
 
 // sent follows a flow by what its backend server sends.
@@ -104,6 +105,7 @@
 
 // end takes the flow out of the load.
 func (a *Agent) end(r *record) {
+	r.held = nil // its turn in the backlog is passed over
 	if !r.running.IsZero() {
 		r.running = time.Time{}
 		a.work.dropped()
--- a/internal/coordination/holding/constants.go
+++ b/internal/coordination/holding/constants.go
@@ -18,8 +18,12 @@
 	flowLifetime = time.Minute
 	// closedFor is how long a closed flow is known for late packets.
 	closedFor = 5 * time.Second
-	// requestTimeout is how long a request without an answer counts as running.
-	requestTimeout = 10 * time.Second
+	// requestTimeout is how long a request without an answer takes a slot: the
+	// longest work of any kind, several times slowed.
+	requestTimeout = 2 * time.Second
+	// maxHeldPackets bounds the packets of one waiting request; callers have at
+	// most 16 in flight.
+	maxHeldPackets = 16
 	// reportEvery is how often balancers hear a changed load.
 	reportEvery = 100 * time.Millisecond
 	// refreshEvery is how often they hear an unchanged one.
--- a/internal/coordination/holding/record.go
+++ b/internal/coordination/holding/record.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/currantturn/currantturn"
 )
 
 // progress is how far a flow has come at this backend server.
@@ -24,7 +26,11 @@
 	first    uint32         // sequence number of the backend server's answer
 	last     uint32         // highest sequence number that it sent
 	traced   bool           // first and last are known
+	began    time.Time      // of the caller's attempt, until its first request
 	running  time.Time      // since when a request is in progress; zero if none is
+	held     [][]byte       // packets of a request that waits for a slot
+	next     uint32         // sequence number after the caller's last data
+	received bool           // next is known
 	seen     time.Time
 	ends     uint8 // closing packets of caller (1) and backend server (2)
 }
@@ -40,6 +46,19 @@
 	return !r.traced || acked-r.first <= r.last-r.first+1
 }
 
+// repeats says whether a caller's data was passed on before.
+func (r *record) repeats(p *currantturn.Packet) bool {
+	return r.received && int32(p.Sequence+uint32(p.DataSize)-r.next) <= 0
+}
+
+// pass takes data that is passed on.
+func (r *record) pass(p *currantturn.Packet) {
+	end := p.Sequence + uint32(p.DataSize)
+	if !r.received || int32(end-r.next) > 0 {
+		r.next, r.received = end, true
+	}
+}
+
 func (r *record) expired(now time.Time) bool {
 	if r.progress == closed {
 		return now.Sub(r.seen) > closedFor
--- a/internal/coordination/holding/report.go
+++ b/internal/coordination/holding/report.go
@@ -36,6 +36,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	load.Silent = !a.silent.IsZero()
+	load.Waiting = a.backlog.Len()
 	return load
 }
 
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -15,6 +15,7 @@
 	now    time.Time
 	from   netip.AddrPort // balancer
 	intent currantturn.Intent
+	demand currantturn.Demand
 	packet *currantturn.Packet
 	out    *currantturn.Effects
 }
@@ -22,7 +23,7 @@
 // Route decides on a caller's packet that a balancer sent here.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
 	a.hear(now, from)
-	d := &arrival{now: now, from: from, intent: e.Intent, packet: &e.Packet, out: out}
+	d := &arrival{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
 		out.Event(event.FlowForeign, event.F("flow", e.Packet.Flow), event.F("service", e.Service))
@@ -61,7 +62,7 @@
 	a.mu.Unlock()
 	return &record{
 		progress: opening, balancer: d.from, sentAt: d.now, seen: d.now,
-		opening: bytes.Clone(d.packet.Payload),
+		opening: bytes.Clone(d.packet.Payload), began: d.now.Add(-attemptAge(d.packet.Acked)),
 	}
 }
 
@@ -88,15 +89,19 @@
 		d.out.Send(d.from, relay.Held{Flow: relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service}})
 	}
 	r.seen = d.now
-	if r.progress == open && d.packet.DataSize > 0 && r.running.IsZero() {
-		r.running = d.now
-		a.work.started()
-	}
-	a.deliver(d)
-	switch d.packet.Mark {
-	case currantturn.MarkReset:
+	switch {
+	case d.packet.Mark == currantturn.MarkReset:
+		a.deliver(d)
 		a.close(d.now, r)
-	case currantturn.MarkClosing:
+		return r
+	case r.held != nil && d.packet.Mark == currantturn.MarkClosing:
+		a.keep(r, d.packet) // after the data that it closes
+	case r.progress == open && d.packet.DataSize > 0:
+		a.request(d, r)
+	default:
+		a.deliver(d)
+	}
+	if d.packet.Mark == currantturn.MarkClosing {
 		a.ended(d.now, r, endCaller)
 	}
 	return r
--- a/internal/coordination/holding/work.go
+++ b/internal/coordination/holding/work.go
@@ -45,6 +45,20 @@
 	w.last = now
 }
 
+// inProgress is how many requests the backend server works on.
+func (w *work) inProgress() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
+// expected is how long an answer takes, zero if that is not known yet.
+func (w *work) expected() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.service)
+}
+
 // load is the present load; a mean that is too old is left out.
 func (w *work) load(now time.Time) relay.Load {
 	w.mu.Lock()
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -8,7 +8,7 @@
 // Candidate is a backend server as one balancer knows it.
 type Candidate struct {
 	Slots   int
-	Running int           // requests in progress as its agent told last
+	Running int           // requests in progress or waiting as its agent told last
 	Sent    int           // flows sent there since then
 	Flows   int           // open flows as its agent told last
 	Service time.Duration // mean time of recent answers, zero if unknown
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -88,7 +88,7 @@
 			return
 		}
 		b.counts.known.Add(1)
-		b.send(t, currantturn.IntentHeld, packet, out)
+		b.send(t, f, currantturn.IntentHeld, packet, out)
 		return
 	}
 	x.search(now)
@@ -97,7 +97,7 @@
 		if t.ended() || slices.Contains(x.absent, t.entry.ID) {
 			continue
 		}
-		b.send(t, currantturn.IntentSearch, packet, out)
+		b.send(t, f, currantturn.IntentSearch, packet, out)
 	}
 }
 
@@ -136,7 +136,7 @@
 	x.tried = append(x.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
 		event.F("backend", t.entry.ID))
-	b.send(t, currantturn.IntentPlace, packet, out)
+	b.send(t, f, currantturn.IntentPlace, packet, out)
 	b.mu.Lock()
 	b.waiting = append(b.waiting, opening{key: packet.Flow, due: x.due})
 	b.mu.Unlock()
@@ -182,9 +182,14 @@
 	return f.Shares[0].Service
 }
 
-func (b *Balancer) send(t *target, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects) {
+func (b *Balancer) send(
+	t *target, f *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
+) {
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
+		Demand: currantturn.Demand{
+			Slots: t.entry.Slots, Priority: f.Priority, Objective: f.LatencyObjective, Timeout: f.Timeout,
+		},
 	}})
 }
 
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -55,7 +55,7 @@
 		WarmUp: now.Before(t.warm),
 	}
 	if now.Sub(t.reported) < reportTimeout {
-		c.Running, c.Flows, c.Service = t.load.Running, t.load.Flows, t.load.Service()
+		c.Running, c.Flows, c.Service = t.load.Running+t.load.Waiting, t.load.Flows, t.load.Service()
 	}
 	return c
 }
--- a/internal/event/steering.go
+++ b/internal/event/steering.go
@@ -10,6 +10,7 @@
 	BackendSilent    = 826
 	BackendAnswers   = 827
 	FlowForeign      = 828
+	RequestGivenUp   = 830
 	PacketUnreadable = 829
 	SettingsReloaded = 831
 	SettingsRejected = 832
@@ -26,6 +27,7 @@
 	{BackendSilent, "backend_silent", Warning, "backend server does not answer opening packets", fields("backend unanswered waited")},
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned", fields("flow service")},
+	{RequestGivenUp, "request_given_up", Info, "caller gave up on a request that waited for a slot; it did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram is no packet of a flow", fields("peer error")},
 	{SettingsReloaded, "settings_reloaded", Info, "changed settings are in force", fields("path service")},
 	{SettingsRejected, "settings_rejected", Warning, "changed settings have mistakes; the earlier ones stay in force", fields("path error")},
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"encoding/binary"
+	"time"
+
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/protocol/message"
 	"github.com/rotisserie/eris"
@@ -9,12 +12,21 @@
 // MaxBytes bounds a frame.
 const MaxBytes = 2048
 
-// Layout of a frame: its type, then for a packet intent, hops and the service's
-// name after its length, and the packet; for a message its CBOR.
+// Layout of a frame: its type, then for a message its CBOR; for a packet the
+// fields below, the service's name and the packet.
 const (
 	typePacket  = 1
 	typeMessage = 2
-	packetHead  = 4
+
+	intentAt    = 1
+	slotsAt     = 2
+	priorityAt  = 3
+	objectiveAt = 4 // milliseconds, 2 bytes, big-endian
+	timeoutAt   = 6 // milliseconds, 2 bytes, big-endian
+	nameBytesAt = 8
+	packetHead  = 9
+	maxByte     = 1<<8 - 1
+	maxShort    = 1<<16 - 1
 )
 
 // intents are the wire's numbers of the intents; append only.
@@ -23,13 +35,24 @@
 	currantturn.IntentSearch, currantturn.IntentAbsent, currantturn.IntentDeclined,
 }
 
-// AppendPacket appends the frame of an enveloped packet.
+// AppendPacket appends the frame of an enveloped packet; numbers that do not fit
+// become the largest that do.
 func AppendPacket(dst []byte, e *currantturn.Envelope) []byte {
-	dst = append(dst, typePacket, intentNumber(e.Intent), e.Hops, byte(min(len(e.Service), 255)))
-	dst = append(dst, e.Service[:min(len(e.Service), 255)]...)
+	name := e.Service[:min(len(e.Service), maxByte)]
+	dst = append(
+		dst, typePacket, intentNumber(e.Intent),
+		byte(min(max(e.Demand.Slots, 0), maxByte)), byte(min(max(e.Demand.Priority, 0), maxByte)),
+	)
+	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Objective))
+	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Timeout))
+	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
 
+func milliseconds(d time.Duration) uint16 {
+	return uint16(min(max(d.Milliseconds(), 0), maxShort))
+}
+
 // AppendMessage appends the frame of a control message.
 func AppendMessage(dst []byte, m currantturn.Message) ([]byte, error) {
 	p, err := message.Encode(m)
@@ -56,11 +79,18 @@
 }
 
 func decodePacket(frame []byte, own currantturn.ServiceName, e *currantturn.Envelope) error {
-	if len(frame) < packetHead || int(frame[1]) >= len(intents) || len(frame) < packetHead+int(frame[3]) {
+	if len(frame) < packetHead || int(frame[intentAt]) >= len(intents) ||
+		len(frame) < packetHead+int(frame[nameBytesAt]) {
 		return eris.Wrapf(currantturn.ErrMalformed, "frame of %d bytes", len(frame))
 	}
-	name := frame[packetHead : packetHead+int(frame[3])]
-	e.Intent, e.Hops = intents[frame[1]], frame[2]
+	e.Intent = intents[frame[intentAt]]
+	e.Demand = currantturn.Demand{
+		Slots:     int(frame[slotsAt]),
+		Priority:  int(frame[priorityAt]),
+		Objective: time.Duration(binary.BigEndian.Uint16(frame[objectiveAt:])) * time.Millisecond,
+		Timeout:   time.Duration(binary.BigEndian.Uint16(frame[timeoutAt:])) * time.Millisecond,
+	}
+	name := frame[packetHead : packetHead+int(frame[nameBytesAt])]
 	if string(name) == string(own) {
 		e.Service = own
 	} else {
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -14,6 +14,7 @@
 	Flows     int    `cbor:"2,keyasint"` // open flows
 	ServiceUS uint32 `cbor:"3,keyasint"` // mean time of recent answers, microseconds
 	Silent    bool   `cbor:"4,keyasint"` // the backend server does not answer
+	Waiting   int    `cbor:"5,keyasint"` // requests that wait for a slot
 }
 
 // Service is the mean time of recent answers.
--- a/packet.go
+++ b/packet.go
@@ -1,6 +1,9 @@
 package currantturn
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // FlowKey identifies a flow by the caller's and the service's address.
 type FlowKey struct {
@@ -77,6 +80,14 @@
 // MaxRanks is how many ranked backend servers an envelope names.
 const MaxRanks = 3
 
+// Demand is what a request asks for, and what its backend server has.
+type Demand struct {
+	Slots     int           // requests that the backend server may run at once; 0 if unknown
+	Priority  int           // 0 is the highest
+	Objective time.Duration // within which a caller wants its answer; 0 if unknown
+	Timeout   time.Duration // after which a caller gives up; 0 if unknown
+}
+
 // Envelope carries a packet between a balancer and an agent, or two agents.
 type Envelope struct {
 	Direction Direction
@@ -87,4 +98,5 @@
 	Balancer  netip.AddrPort // link address of the entry balancer, for answers and hints
 	Ranks     [MaxRanks]BackendID
 	Packet    Packet
+	Demand    Demand // with packets of opaque flows
 }
--- a/roster.go
+++ b/roster.go
@@ -31,6 +31,8 @@
 	// LatencyObjective is within what time a caller wants its answer; zero if
 	// none is told.
 	LatencyObjective time.Duration `cbor:"4,keyasint"`
+	// Timeout is after what time a caller gives up; zero if none is told.
+	Timeout time.Duration `cbor:"5,keyasint"`
 }
 
 // Routing is a configuration that is published whole.
