--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -58,10 +59,15 @@
 
 // runProcess runs a hook, logs its life and turns signals into its stop.
 func (p *Program) runProcess(ctx context.Context, path string, o *settings.Options, hook processHook) error {
-	logger := event.NewLogger(p.Err, o.Log.Format, o.Log.Level, o.Process.Name)
+	out, leftOut, closeLog := p.logOutput(o.Process.Role)
+	defer closeLog()
+	logger := event.NewLogger(out, o.Log.Format, o.Log.Level, o.Process.Name)
 	report := func(number int, fields ...currantturn.Field) {
 		logger.Log(p.Now(), currantturn.Event{Number: number, Fields: fields})
 	}
+	watched, unwatch := context.WithCancel(ctx)
+	defer unwatch()
+	go reportLeftOut(watched, leftOut, report)
 	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", o.Link.Address))
 	started := p.Now()
 	err := p.supervise(ctx, path, o, logger, report, hook)
@@ -73,6 +79,34 @@
 	return nil
 }
 
+// logOutput returns where a role logs to, and what ends that. Agents and
+// balancers of opaque flows log to standard output and never wait for its
+// reader.
+func (p *Program) logOutput(r currantturn.Role) (w io.Writer, leftOut func() uint64, closeLog func()) {
+	if r != currantturn.RoleFlowBalancer && r != currantturn.RoleFlowAgent {
+		return p.Err, func() uint64 { return 0 }, func() {}
+	}
+	out := event.NewWriter(p.Out)
+	return out, out.TakeLeftOut, func() { _ = out.Close() } // which never fails
+}
+
+// reportLeftOut tells of the log lines that a slow reader misses, until the
+// context ends.
+func reportLeftOut(ctx context.Context, leftOut func() uint64, report func(int, ...currantturn.Field)) {
+	t := time.NewTicker(leftOutEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if n := leftOut(); n > 0 {
+			report(event.LogLinesLeftOut, event.F("lines", n))
+		}
+	}
+}
+
 // supervise waits for the hook; after a second signal or an overrun grace it
 // waits no longer than forcedStopDelay.
 func (p *Program) supervise(
--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -33,6 +33,8 @@
 	flows   *shard.Map[currantturn.FlowKey, record]
 	work    work
 	waits   *metric.Histogram // from a request's arrival until it runs, if it had to wait
+	opens   *metric.Histogram // from an opening packet to its answer
+	serves  *metric.Histogram // from a request's last wait to its answer
 	counts  counts
 
 	mu         sync.Mutex // guards the fields below
@@ -70,6 +72,10 @@
 	GaveUp    uint64 `json:"gave_up"`   // requests whose callers gave up while they waited
 	Flows     int    `json:"flows"`     // flows known at present
 	Running   int    `json:"running"`   // requests in progress at present
+
+	Waits  metric.Summary `json:"waits"`  // time that requests waited for a slot
+	Opens  metric.Summary `json:"opens"`  // time from an opening packet to the backend server's answer
+	Serves metric.Summary `json:"serves"` // time from a request to the first byte of its answer
 }
 
 // New returns an agent that knows no flows.
@@ -82,6 +88,8 @@
 		flows:     shard.New[currantturn.FlowKey, record](opts.Flows),
 		balancers: make(map[netip.AddrPort]*listener),
 		waits:     metric.NewHistogram(),
+		opens:     metric.NewHistogram(),
+		serves:    metric.NewHistogram(),
 	}
 	a.SetService(opts.Service)
 	return a
@@ -105,7 +113,8 @@
 		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
 		Foreign: c.foreign.Load(), Full: c.full.Load(),
 		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(),
-		Flows: a.flows.Len(), Running: a.work.load(time.Time{}).Running,
+		Flows: a.flows.Len(), Running: a.work.inProgress(),
+		Waits: a.waits.Summary(), Opens: a.opens.Summary(), Serves: a.serves.Summary(),
 	}
 }
 
--- a/internal/coordination/holding/answer.go
+++ b/internal/coordination/holding/answer.go
@@ -39,6 +39,7 @@
 	r.seen = now
 	if p.Mark == currantturn.MarkOpening && r.progress == opening {
 		r.progress, r.opening = answered, nil
+		a.opens.Record(now.Sub(r.sentAt))
 		r.first, r.last, r.traced = p.Sequence, p.Sequence, true
 		out.Send(r.balancer, relay.Accepted{
 			Flow: relay.Flow{Caller: p.Flow.Caller, Service: p.Flow.Service}, Load: a.load(now),
@@ -48,6 +49,7 @@
 		r.last = end
 	}
 	if p.DataSize > 0 && !r.running.IsZero() {
+		a.serves.Record(now.Sub(r.running))
 		a.work.answered(now, now.Sub(r.running))
 		r.running = time.Time{}
 	}
--- a/internal/coordination/publication/feed.go
+++ b/internal/coordination/publication/feed.go
@@ -62,6 +62,44 @@
 	failures  int
 	peers     map[netip.AddrPort]time.Time // when each was heard last
 	beaten    time.Time
+	counts    Counters
+}
+
+// Counters are a feed's totals since its start, and its present state.
+type Counters struct {
+	Lists      uint64 `json:"lists"`      // readings of everything
+	Watches    uint64 `json:"watches"`    // watches that were answered
+	Failures   uint64 `json:"failures"`   // reads without a usable answer
+	Compacted  uint64 `json:"compacted"`  // watches whose history was gone
+	Pulls      uint64 `json:"pulls"`      // states taken from another balancer
+	Version    uint64 `json:"version"`    // configuration in force
+	Revision   uint64 `json:"revision"`   // store's revision of the state in force
+	Unsure     uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
+	Peers      int    `json:"peers"`      // balancers that are alive
+	Registered int    `json:"registered"` // registrations that stand
+}
+
+// Counters returns the totals so far.
+func (f *Feed) Counters(now time.Time) Counters {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.counts
+	c.Revision = f.state.Revision
+	if f.state.Routing != nil {
+		c.Version = uint64(f.state.Routing.Version)
+		c.Unsure = uint64(max(now.Sub(f.confirmed), 0).Milliseconds())
+	}
+	for _, heard := range f.peers {
+		if now.Sub(heard) < peerTimeout {
+			c.Peers++
+		}
+	}
+	for i := range f.state.Servers {
+		if f.state.Servers[i].Gone.IsZero() {
+			c.Registered++
+		}
+	}
+	return c
 }
 
 // New returns a feed that knows nothing yet.
@@ -136,6 +174,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained(now, out)
+	f.counts.Lists++
 	// Changes between the two reads are seen again by the watch.
 	revision := min(routing.Revision, servers.Revision)
 	f.listed = true
@@ -162,6 +201,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained(now, out)
+	f.counts.Watches++
 	if l.Revision < f.state.Revision {
 		return // a peer was ahead
 	}
@@ -205,12 +245,14 @@
 	defer f.mu.Unlock()
 	f.listed = false
 	if compacted {
+		f.counts.Compacted++
 		return // the store answers: read everything at once
 	}
 	if f.failures == 0 {
 		out.Event(event.StoreLost, event.F("error", err))
 	}
 	f.failures++
+	f.counts.Failures++
 	f.lost = now
 	f.trusted = now.Add(lapseGrace)
 }
@@ -230,6 +272,7 @@
 	if s.Revision <= f.state.Revision || s.Routing == nil {
 		return
 	}
+	f.counts.Pulls++
 	s.Routing = f.newer(s.Routing, out)
 	f.servers.Restore(s.Servers)
 	s.Servers = f.servers.Entries()
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -136,6 +136,7 @@
 	if t == nil {
 		return
 	}
+	t.hear()
 	switch m := m.(type) {
 	case relay.Accepted:
 		t.report(now, m.Load)
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -25,6 +25,9 @@
 	searchAll = 64
 	// reportTimeout is how long a reported load counts.
 	reportTimeout = 3 * time.Second
+	// leftTimeout is how long the agent of a backend server that left may take
+	// to deny a flow: many round trips, but less than a caller's first two repeats.
+	leftTimeout = 150 * time.Millisecond
 	// maxHeld bounds the packets that wait for the first configuration.
 	maxHeld = 512
 )
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -51,12 +51,12 @@
 }
 
 // rule takes one backend server's no and tells whether all of them said so.
-func (e *entry) rule(id currantturn.BackendID, all []*target) (nowhere bool) {
+func (e *entry) rule(now time.Time, id currantturn.BackendID, all []*target) (nowhere bool) {
 	if !slices.Contains(e.absent, id) {
 		e.absent = append(e.absent, id)
 	}
 	for _, t := range all {
-		if !slices.Contains(e.absent, t.entry.ID) && !t.ended() {
+		if !slices.Contains(e.absent, t.entry.ID) && !t.ended(now) {
 			return false
 		}
 	}
@@ -64,7 +64,19 @@
 }
 
 // ended says whether the backend server is known to have ended, so that it
-// holds nothing and nobody answers for it.
-func (t *target) ended() bool {
+// holds nothing: it announced its end, its registration is gone, and its agent
+// does not answer any more. A registration alone may vanish early.
+func (t *target) ended(now time.Time) bool {
+	if !t.left() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.asked.IsZero() && now.Sub(t.asked) > leftTimeout
+}
+
+// left says whether the backend server announced its end and its registration
+// is gone.
+func (t *target) left() bool {
 	return !t.entry.Gone.IsZero() && t.entry.Left
 }
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -82,22 +82,25 @@
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
 	if t := b.current(p, x); t != nil {
-		if t.ended() {
-			// Its flows ended with it.
+		if t.ended(now) {
 			b.lost(now, packet, x, "backend server has left", out)
 			return
 		}
 		b.counts.known.Add(1)
-		b.send(t, f, currantturn.IntentHeld, packet, out)
+		intent := currantturn.IntentHeld
+		if t.left() {
+			intent = currantturn.IntentSearch // which an agent that still runs answers
+		}
+		b.send(now, t, f, intent, packet, out)
 		return
 	}
 	x.search(now)
 	b.counts.searched.Add(1)
 	for _, t := range p.holders(f) {
-		if t.ended() || slices.Contains(x.absent, t.entry.ID) {
+		if t.ended(now) || slices.Contains(x.absent, t.entry.ID) {
 			continue
 		}
-		b.send(t, f, currantturn.IntentSearch, packet, out)
+		b.send(now, t, f, currantturn.IntentSearch, packet, out)
 	}
 }
 
@@ -136,7 +139,7 @@
 	x.tried = append(x.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
 		event.F("backend", t.entry.ID))
-	b.send(t, f, currantturn.IntentPlace, packet, out)
+	b.send(now, t, f, currantturn.IntentPlace, packet, out)
 	b.mu.Lock()
 	b.waiting = append(b.waiting, opening{key: packet.Flow, due: x.due})
 	b.mu.Unlock()
@@ -183,8 +186,11 @@
 }
 
 func (b *Balancer) send(
-	t *target, f *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
+	now time.Time, t *target, f *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
 ) {
+	if intent == currantturn.IntentSearch {
+		t.ask(now)
+	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
 		Demand: currantturn.Demand{
@@ -201,6 +207,7 @@
 	if t == nil || f == nil {
 		return
 	}
+	t.hear()
 	b.flows.Update(e.Packet.Flow, func(x *entry) *entry {
 		switch {
 		case x == nil:
@@ -290,9 +297,10 @@
 		return
 	}
 	b.flows.Update(key, func(x *entry) *entry {
-		if x == nil || x.progress != searching {
+		if x == nil || x.progress != searching && (x.holder == nil || x.holder.agent != t.agent) {
 			return x
 		}
+		x.search(now)
 		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
 		b.rule(now, p, f, t, &packet, x, out)
 		return b.kept(x)
@@ -303,7 +311,7 @@
 func (b *Balancer) rule(
 	now time.Time, p *plan, f *currantturn.FlowRoute, t *target, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	if !x.rule(t.entry.ID, p.holders(f)) {
+	if !x.rule(now, t.entry.ID, p.holders(f)) {
 		return
 	}
 	b.counts.absent.Add(1)
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -22,6 +22,23 @@
 	sent     int // flows sent since the last report
 	avoid    time.Time
 	warm     time.Time // end of the warm-up
+	asked    time.Time // of the first search since the agent was heard; zero without one
+}
+
+// ask notes a search, which the agent answers at once.
+func (t *target) ask(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.asked.IsZero() {
+		t.asked = now
+	}
+}
+
+// hear notes a sign of life of the agent.
+func (t *target) hear() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked = time.Time{}
 }
 
 // report takes the load that the agent tells.
@@ -138,7 +155,7 @@
 	}
 	was.mu.Lock()
 	defer was.mu.Unlock()
-	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
+	t.load, t.reported, t.sent, t.avoid, t.asked = was.load, was.reported, was.sent, was.avoid, was.asked
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
 	}
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -100,6 +100,11 @@
 	return b.feed.State()
 }
 
+// PublishedCounters returns the totals of the reading of published states.
+func (b *FlowBalancer) PublishedCounters() publication.Counters {
+	return b.feed.Counters(b.opts.Clock())
+}
+
 // Close stops the balancer.
 func (b *FlowBalancer) Close() error {
 	b.cancel()
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -52,6 +52,9 @@
 	if d == nil {
 		d = &Definition{Name: "unknown_event", Level: Error, Text: "event is not in the catalogue"}
 	}
+	if !l.entry.Logger.IsLevelEnabled(logrusLevel(d.Level)) {
+		return
+	}
 	suppressed, ok := l.allow(now, d.Number)
 	if !ok {
 		return
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	x.metrics.Publish("steering", func() any { return b.Counters() })
-	x.metrics.Publish("store", func() any { return store.Counters() })
+	x.metrics.Publish("publication", func() any { return b.PublishedCounters() })
 	for at, h := range map[netip.AddrPort]http.Handler{
 		o.Relay.ReadinessAddress: readiness(b.Serving),
 		o.Relay.StateAddress:     published.Handler(func() publication.State { return b.Published() }),
--- /dev/null
+++ b/internal/protocol/relay/frame_test.go
@@ -0,0 +1,78 @@
+package relay_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRelay(t *testing.T) { suite.Run(t, "relay") }
+
+var _ = Describe("frames", func() {
+	flow := relay.Flow{
+		Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Service: netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+
+	DescribeTable("carry a packet with its intent and demand", func(intent currantturn.Intent) {
+		sent := currantturn.Envelope{
+			Intent: intent, Service: "verify", Packet: currantturn.Packet{Payload: []byte("packet")},
+			Demand: currantturn.Demand{Slots: 3, Priority: 1, Objective: 150 * time.Millisecond, Timeout: time.Second},
+		}
+		var got currantturn.Envelope
+		m, err := relay.Decode(relay.AppendPacket(nil, &sent), "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m).To(BeNil())
+		Expect(got).To(Equal(sent))
+	},
+		Entry(nil, currantturn.IntentPlace), Entry(nil, currantturn.IntentHeld), Entry(nil, currantturn.IntentSearch),
+		Entry(nil, currantturn.IntentAbsent), Entry(nil, currantturn.IntentDeclined),
+	)
+
+	It("send the largest number that fits instead of a wrong one", func() {
+		sent := currantturn.Envelope{Intent: currantturn.IntentHeld, Demand: currantturn.Demand{Slots: 1000, Timeout: time.Hour}}
+		var got currantturn.Envelope
+		_, err := relay.Decode(relay.AppendPacket(nil, &sent), "", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Demand).To(Equal(currantturn.Demand{Slots: 255, Timeout: 65535 * time.Millisecond}))
+	})
+
+	DescribeTable("carry a message", func(sent currantturn.Message) {
+		frame, err := relay.AppendMessage(nil, sent)
+		Expect(err).NotTo(HaveOccurred())
+		got, err := relay.Decode(frame, "", &currantturn.Envelope{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+	},
+		Entry(nil, relay.Accepted{Flow: flow, Load: relay.Load{Running: 3, Flows: 40, ServiceUS: 22000, Waiting: 7}}),
+		Entry(nil, relay.Held{Flow: flow}), Entry(nil, relay.Absent{Flow: flow}),
+		Entry(nil, relay.Report{Load: relay.Load{Silent: true}}),
+	)
+
+	DescribeTable("are refused when malformed", func(frame []byte) {
+		_, err := relay.Decode(frame, "", &currantturn.Envelope{})
+		Expect(errors.Is(err, currantturn.ErrMalformed)).To(BeTrue(), "%v", err)
+	},
+		Entry("empty", nil), Entry("unknown type", []byte{9}), Entry("cut off", []byte{1, 2, 3}),
+		Entry("unknown intent", []byte{1, 200, 0, 0, 0, 0, 0, 0, 0}),
+		Entry("name longer than the frame", []byte{1, 1, 0, 0, 0, 0, 0, 0, 50}),
+		Entry("no message", []byte{2, 0xff}),
+	)
+})
+
+func FuzzDecode(f *testing.F) {
+	f.Add(relay.AppendPacket(nil, &currantturn.Envelope{Intent: currantturn.IntentPlace, Service: "verify"}))
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		var e currantturn.Envelope
+		m, err := relay.Decode(frame, "verify", &e)
+		if err != nil && m != nil {
+			t.Fatalf("message %v with error %v", m, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/roster/roster_test.go
@@ -0,0 +1,73 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRoster(t *testing.T) { suite.Run(t, "roster") }
+
+var _ = Describe("a roster", func() {
+	start := time.Unix(1_000_000, 0)
+	active := currantturn.Registration{ID: "a", State: currantturn.BackendActive}
+	draining := currantturn.Registration{ID: "d", State: currantturn.BackendDraining}
+
+	It("places on active registrations only", func() {
+		r := roster.New()
+		r.Put(active)
+		r.Put(draining)
+		all := r.Entries()
+		Expect(all[0].Placeable()).To(BeTrue())
+		Expect(all[1].Placeable()).To(BeFalse())
+	})
+
+	It("remembers for a flow's lifetime who is gone, and whether it had announced that", func() {
+		r := roster.New()
+		r.Replace(start, []currantturn.Registration{active, draining}, start)
+		r.Replace(start, nil, start)
+		all := r.Entries()
+		Expect(all).To(HaveLen(2))
+		Expect(all[0].Left).To(BeFalse())
+		Expect(all[1].Left).To(BeTrue())
+		Expect(r.Expire(start.Add(roster.RetainGone))).To(BeFalse())
+		Expect(r.Expire(start.Add(roster.RetainGone + 1))).To(BeTrue())
+		Expect(r.Entries()).To(BeEmpty())
+	})
+
+	It("takes a registration that vanishes with the store for a lapse until the store is trusted", func() {
+		r := roster.New()
+		r.Put(active)
+		trusted := start.Add(2 * time.Second)
+		r.Remove(start, "a", trusted)
+		Expect(r.Entries()[0].Placeable()).To(BeTrue())
+		r.Put(active) // back in time
+		Expect(r.Expire(trusted)).To(BeFalse())
+		Expect(r.Entries()[0].Placeable()).To(BeTrue())
+		r.Remove(start, "a", trusted)
+		Expect(r.Expire(trusted)).To(BeTrue())
+		Expect(r.Entries()[0].Placeable()).To(BeFalse())
+	})
+
+	It("believes an announced end at once", func() {
+		r := roster.New()
+		r.Put(draining)
+		r.Remove(start, "d", start.Add(time.Hour))
+		Expect(r.Entries()[0].Left).To(BeTrue())
+	})
+
+	It("gives the same entries after a transfer", func() {
+		r := roster.New()
+		r.Replace(start, []currantturn.Registration{active, draining}, start)
+		r.Remove(start, "d", start)
+		other := roster.New()
+		other.Put(currantturn.Registration{ID: "stale"})
+		other.Restore(r.Entries())
+		Expect(other.Entries()).To(Equal(r.Entries()))
+	})
+})
