--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -30,12 +30,14 @@
 type Agent struct {
 	opts    Options
 	service atomic.Pointer[currantturn.ServiceName]
-	flows   *shard.Map[currantturn.FlowKey, record]
-	work    work
-	waits   *metric.Histogram // from a request's arrival until it runs, if it had to wait
-	opens   *metric.Histogram // from an opening packet to its answer
-	serves  *metric.Histogram // from a request's last wait to its answer
-	counts  counts
+	// revision is the newest published state that any balancer told of.
+	revision atomic.Uint64
+	flows    *shard.Map[currantturn.FlowKey, record]
+	work     work
+	waits    *metric.Histogram // from a request's arrival until it runs, if it had to wait
+	opens    *metric.Histogram // from an opening packet to its answer
+	serves   *metric.Histogram // from a request's last wait to its answer
+	counts   counts
 
 	mu         sync.Mutex // guards the fields below
 	waiting    []unanswered
@@ -211,6 +213,6 @@
 func (a *Agent) giveBack(to netip.AddrPort, intent currantturn.Intent, packet []byte, out *currantturn.Effects) {
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: to, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToCaller, Intent: intent, Service: a.Service(),
-		Packet: currantturn.Packet{Payload: packet},
+		Packet: currantturn.Packet{Payload: packet}, Revision: a.revision.Load(),
 	}})
 }
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -23,6 +23,7 @@
 // Route decides on a caller's packet that a balancer sent here.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
 	a.hear(now, from)
+	a.learn(e.Revision)
 	d := &arrival{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
@@ -42,6 +43,17 @@
 	}
 }
 
+// learn keeps the newest revision that a balancer told of. A balancer that
+// knows less than this may not know a backend server that holds the flow.
+func (a *Agent) learn(revision uint64) {
+	for {
+		old := a.revision.Load()
+		if revision <= old || a.revision.CompareAndSwap(old, revision) {
+			return
+		}
+	}
+}
+
 // open takes an opening packet: a repeat belongs to its flow, another one is
 // new work.
 func (a *Agent) open(d *arrival, r *record) *record {
@@ -119,7 +131,10 @@
 func (a *Agent) refuse(d *arrival) {
 	switch {
 	case d.intent == currantturn.IntentSearch:
-		d.out.Send(d.from, relay.Absent{Flow: relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service}})
+		d.out.Send(d.from, relay.Absent{
+			Flow:     relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service},
+			Revision: a.revision.Load(),
+		})
 	case d.packet.Mark == currantturn.MarkOpening:
 		a.counts.declined.Add(1)
 		a.giveBack(d.from, currantturn.IntentDeclined, d.packet.Payload, d.out)
--- a/internal/coordination/publication/constants.go
+++ b/internal/coordination/publication/constants.go
@@ -20,6 +20,9 @@
 	lapseGrace = 2500 * time.Millisecond
 	// heartbeatFan bounds the balancers that one heartbeat goes to.
 	heartbeatFan = 8
+	// changeFan bounds those that hear of a change at once; the others hear of it
+	// from them.
+	changeFan = 32
 	// peersTold bounds the addresses in one heartbeat.
 	peersTold = 16
 	// maxPeers bounds the balancers that are known.
--- a/internal/coordination/publication/feed.go
+++ b/internal/coordination/publication/feed.go
@@ -308,7 +308,7 @@
 		changed = true
 	}
 	if now.Sub(f.beaten) >= heartbeatEvery {
-		f.beat(now, out)
+		f.beat(now, heartbeatFan, out)
 	}
 	return changed
 }
@@ -317,10 +317,10 @@
 func (f *Feed) Beat(now time.Time, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.beat(now, out)
+	f.beat(now, changeFan, out)
 }
 
-func (f *Feed) beat(now time.Time, out *currantturn.Effects) {
+func (f *Feed) beat(now time.Time, fan int, out *currantturn.Effects) {
 	f.beaten = now
 	all := make([]netip.AddrPort, 0, len(f.peers))
 	for at, heard := range f.peers {
@@ -337,7 +337,7 @@
 		h.Version = f.state.Routing.Version
 	}
 	h.AgeMS = uint32(min(now.Sub(f.confirmed), time.Hour).Milliseconds())
-	for _, at := range all[:min(len(all), heartbeatFan)] {
+	for _, at := range all[:min(len(all), fan)] {
 		out.Send(at, h)
 	}
 }
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -34,8 +34,10 @@
 	rng     *rand.Rand
 	waiting []opening
 	held    [][]byte // packets that came before the first configuration
-	sweepAt int
-	counts  counts
+	// deferred are searches that wait for a newer published state.
+	deferred []currantturn.FlowKey
+	sweepAt  int
+	counts   counts
 }
 
 // opening is an opening packet whose backend server has not answered yet.
@@ -46,6 +48,7 @@
 
 // published is what a plan is made from.
 type published struct {
+	revision  uint64
 	routing   *currantturn.Routing
 	servers   []roster.Entry
 	agentPort uint16
@@ -109,8 +112,9 @@
 		b.mu.Unlock()
 		return
 	}
-	b.plan.Store(newPlan(now, &published{routing: s.Routing, servers: s.Servers, agentPort: b.opts.AgentPort}, old))
-	held := b.held
+	b.plan.Store(newPlan(now, &published{revision: s.Revision, routing: s.Routing, servers: s.Servers, agentPort: b.opts.AgentPort}, old))
+	held, deferred := b.held, b.deferred
+	b.deferred = nil
 	if b.Ready() {
 		b.held = nil
 	}
@@ -118,6 +122,9 @@
 	if !b.Ready() {
 		return
 	}
+	for _, key := range deferred {
+		b.resume(now, key, out)
+	}
 	for _, p := range held {
 		e := currantturn.Envelope{Direction: currantturn.ToBackend}
 		if err := b.opts.Codec.Decode(p, currantturn.ToBackend, &e.Packet); err == nil {
@@ -146,7 +153,7 @@
 	case relay.Held:
 		b.found(now, m.Flow.Key(), t, out)
 	case relay.Absent:
-		b.absent(now, m.Flow.Key(), t, out)
+		b.absent(now, m.Flow.Key(), t, m.Revision, out)
 	}
 }
 
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -28,6 +28,8 @@
 	// leftTimeout is how long the agent of a backend server that left may take
 	// to deny a flow: many round trips, but less than a caller's first two repeats.
 	leftTimeout = 150 * time.Millisecond
+	// maxDeferred bounds the searches that wait for a newer published state.
+	maxDeferred = 4096
 	// maxHeld bounds the packets that wait for the first configuration.
 	maxHeld = 512
 )
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -25,6 +25,7 @@
 	due      time.Time // of the answer to the opening packet
 	asked    time.Time // start of the search
 	absent   []currantturn.BackendID
+	needs    uint64 // revision without which a search proves nothing
 	seen     time.Time
 	closed   time.Time
 	acked    uint32 // of the caller's last packet, for a reset
@@ -50,11 +51,16 @@
 	e.progress, e.holder, e.opening, e.absent, e.seen = known, t, nil, nil, now
 }
 
-// rule takes one backend server's no and tells whether all of them said so.
-func (e *entry) rule(now time.Time, id currantturn.BackendID, all []*target) (nowhere bool) {
+// deny takes one backend server's no, which rests on a published revision.
+func (e *entry) deny(id currantturn.BackendID, revision uint64) {
+	e.needs = max(e.needs, revision)
 	if !slices.Contains(e.absent, id) {
 		e.absent = append(e.absent, id)
 	}
+}
+
+// nowhere says whether every backend server that may hold the flow denied it.
+func (e *entry) nowhere(now time.Time, all []*target) bool {
 	for _, t := range all {
 		if !slices.Contains(e.absent, t.entry.ID) && !t.ended(now) {
 			return false
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -96,6 +96,10 @@
 	}
 	x.search(now)
 	b.counts.searched.Add(1)
+	if x.nowhere(now, p.holders(f)) {
+		b.rule(now, p, f, packet, x, out)
+		return
+	}
 	for _, t := range p.holders(f) {
 		if t.ended(now) || slices.Contains(x.absent, t.entry.ID) {
 			continue
@@ -193,6 +197,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
+		Revision: b.plan.Load().revision,
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: f.Priority, Objective: f.LatencyObjective, Timeout: f.Timeout,
 		},
@@ -215,11 +220,12 @@
 		case e.Intent == currantturn.IntentDeclined:
 			b.declined(now, p, f, t, &e.Packet, x, out)
 		case x.progress == searching:
-			b.rule(now, p, f, t, &e.Packet, x, out)
+			x.deny(t.entry.ID, e.Revision)
+			b.rule(now, p, f, &e.Packet, x, out)
 		case x.holder != nil && x.holder.agent == from:
 			// The packet goes on at once to whoever holds the flow.
 			x.search(now)
-			x.absent = append(x.absent, t.entry.ID)
+			x.deny(t.entry.ID, e.Revision)
 			b.follow(now, p, f, &e.Packet, x, out)
 		}
 		return b.kept(x)
@@ -290,7 +296,7 @@
 }
 
 // absent takes an agent's no to a search.
-func (b *Balancer) absent(now time.Time, key currantturn.FlowKey, t *target, out *currantturn.Effects) {
+func (b *Balancer) absent(now time.Time, key currantturn.FlowKey, t *target, revision uint64, out *currantturn.Effects) {
 	p := b.plan.Load()
 	f := p.routes[key.Service]
 	if f == nil {
@@ -301,17 +307,45 @@
 			return x
 		}
 		x.search(now)
+		x.deny(t.entry.ID, revision)
+		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
+		b.rule(now, p, f, &packet, x, out)
+		return b.kept(x)
+	})
+}
+
+// resume decides a search again that waited for a newer published state.
+func (b *Balancer) resume(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	p := b.plan.Load()
+	f := p.routes[key.Service]
+	if f == nil {
+		return
+	}
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil || x.progress != searching {
+			return x
+		}
 		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
-		b.rule(now, p, f, t, &packet, x, out)
+		b.rule(now, p, f, &packet, x, out)
 		return b.kept(x)
 	})
 }
 
-// rule takes one no; if nobody holds the flow, its caller is told at once.
+// rule decides a search: if nobody holds the flow, its caller is told at once.
+// While agents have heard of a newer published state, a backend server that is
+// not known here may hold it.
 func (b *Balancer) rule(
-	now time.Time, p *plan, f *currantturn.FlowRoute, t *target, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	if !x.rule(now, t.entry.ID, p.holders(f)) {
+	if !x.nowhere(now, p.holders(f)) {
+		return
+	}
+	if x.needs > p.revision {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.deferred) < maxDeferred {
+			b.deferred = append(b.deferred, packet.Flow)
+		}
 		return
 	}
 	b.counts.absent.Add(1)
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -174,6 +174,29 @@
 		}
 	})
 
+	It("are not reset by a balancer that does not know their backend server yet", func() {
+		w := calm(14, 2, 3, 0)
+		w.addBackend(3)
+		w.revision++
+		w.publishTo(w.balancers[0])
+		w.balancers[1].down = true // until the flows are placed
+		for range 30 {
+			w.addCaller(300 * time.Millisecond)
+		}
+		w.run(500 * time.Millisecond)
+		Expect(w.backends["verify-03"].flows).NotTo(BeEmpty())
+		w.balancers[0].down, w.balancers[1].down = true, false
+		w.run(500 * time.Millisecond)
+		Expect(w.broken).To(BeEmpty())
+		w.publish()
+		w.run(2 * time.Second)
+		Expect(w.broken).To(BeEmpty())
+		for _, c := range w.callers {
+			Expect(c.resets + c.failed).To(BeZero())
+			Expect(len(c.answers)).To(BeNumerically(">", 4))
+		}
+	})
+
 	It("start elsewhere within the objective when a backend server or its VM is silent", func() {
 		w := calm(9, 2, 4, 0)
 		w.backends["verify-00"].silent = true
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -87,6 +87,7 @@
 // changed but for the loads of its targets.
 type plan struct {
 	version  currantturn.Version
+	revision uint64
 	routes   map[netip.AddrPort]*currantturn.FlowRoute
 	earlier  map[netip.AddrPort][]currantturn.ServiceName // that a route led to before
 	ready    map[currantturn.ServiceName][]*target        // may get new flows
@@ -100,6 +101,7 @@
 func newPlan(now time.Time, s *published, old *plan) *plan {
 	p := &plan{
 		version:  s.routing.Version,
+		revision: s.revision,
 		routes:   make(map[netip.AddrPort]*currantturn.FlowRoute, len(s.routing.Routes)),
 		earlier:  make(map[netip.AddrPort][]currantturn.ServiceName),
 		ready:    make(map[currantturn.ServiceName][]*target),
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -23,8 +23,9 @@
 	priorityAt  = 3
 	objectiveAt = 4 // milliseconds, 2 bytes, big-endian
 	timeoutAt   = 6 // milliseconds, 2 bytes, big-endian
-	nameBytesAt = 8
-	packetHead  = 9
+	revisionAt  = 8 // 8 bytes, big-endian
+	nameBytesAt = 16
+	packetHead  = 17
 	maxByte     = 1<<8 - 1
 	maxShort    = 1<<16 - 1
 )
@@ -45,6 +46,7 @@
 	)
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Objective))
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Timeout))
+	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
 	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
@@ -90,6 +92,7 @@
 		Objective: time.Duration(binary.BigEndian.Uint16(frame[objectiveAt:])) * time.Millisecond,
 		Timeout:   time.Duration(binary.BigEndian.Uint16(frame[timeoutAt:])) * time.Millisecond,
 	}
+	e.Revision = binary.BigEndian.Uint64(frame[revisionAt:])
 	name := frame[packetHead : packetHead+int(frame[nameBytesAt])]
 	if string(name) == string(own) {
 		e.Service = own
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -23,7 +23,8 @@
 	DescribeTable("carry a packet with its intent and demand", func(intent currantturn.Intent) {
 		sent := currantturn.Envelope{
 			Intent: intent, Service: "verify", Packet: currantturn.Packet{Payload: []byte("packet")},
-			Demand: currantturn.Demand{Slots: 3, Priority: 1, Objective: 150 * time.Millisecond, Timeout: time.Second},
+			Demand:   currantturn.Demand{Slots: 3, Priority: 1, Objective: 150 * time.Millisecond, Timeout: time.Second},
+			Revision: 1 << 40,
 		}
 		var got currantturn.Envelope
 		m, err := relay.Decode(relay.AppendPacket(nil, &sent), "other", &got)
@@ -60,8 +61,8 @@
 		Expect(errors.Is(err, currantturn.ErrMalformed)).To(BeTrue(), "%v", err)
 	},
 		Entry("empty", nil), Entry("unknown type", []byte{9}), Entry("cut off", []byte{1, 2, 3}),
-		Entry("unknown intent", []byte{1, 200, 0, 0, 0, 0, 0, 0, 0}),
-		Entry("name longer than the frame", []byte{1, 1, 0, 0, 0, 0, 0, 0, 50}),
+		Entry("unknown intent", append([]byte{1, 200}, make([]byte, 15)...)),
+		Entry("name longer than the frame", append([]byte{1, 1}, append(make([]byte, 14), 50)...)),
 		Entry("no message", []byte{2, 0xff}),
 	)
 })
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -54,7 +54,8 @@
 
 // Absent tells a balancer that searched that the flow is not held here.
 type Absent struct {
-	Flow Flow `cbor:"1,keyasint"`
+	Flow     Flow   `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // newest published state that the agent has heard of
 }
 
 // Kind names the message on the wire.
--- a/packet.go
+++ b/packet.go
@@ -98,5 +98,7 @@
 	Balancer  netip.AddrPort // link address of the entry balancer, for answers and hints
 	Ranks     [MaxRanks]BackendID
 	Packet    Packet
-	Demand    Demand // with packets of opaque flows
+	// With packets of opaque flows:
+	Demand   Demand
+	Revision uint64 // of the newest published state that the sender knows of
 }
