Believe an agent's silence only while other agents answer

Silence counts now only if other agents were heard just before the question and after it; the spec with cuts of three lengths failed before.

--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -29,6 +29,7 @@
 	opts  Options
 	plan  atomic.Pointer[plan]
 	flows *shard.Map[currantturn.FlowKey, entry]
+	heard atomic.Int64 // Unix nanoseconds of the last sign of life of any agent
 
 	mu      sync.Mutex // guards the fields below and changes of the plan
 	rng     *rand.Rand
@@ -143,7 +144,7 @@
 	if t == nil {
 		return
 	}
-	t.hear()
+	b.hear(now, t)
 	switch m := m.(type) {
 	case relay.Accepted:
 		t.report(now, m.Load)
@@ -157,6 +158,17 @@
 	}
 }
 
+// hear notes a sign of life of an agent.
+func (b *Balancer) hear(now time.Time, t *target) {
+	t.hear()
+	b.heard.Store(now.UnixNano())
+}
+
+// heardAny is when any agent was heard last.
+func (b *Balancer) heardAny() time.Time {
+	return time.Unix(0, b.heard.Load())
+}
+
 // Configure does nothing: this balancer follows a published state.
 func (b *Balancer) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
 
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -28,6 +28,9 @@
 	// leftTimeout is how long the agent of a backend server that left may take
 	// to deny a flow: many round trips, but less than a caller's first two repeats.
 	leftTimeout = 150 * time.Millisecond
+	// contactTimeout is how long ago any agent may have been heard for the silence
+	// of one to mean anything; agents report at least once a second each.
+	contactTimeout = 500 * time.Millisecond
 	// maxDeferred bounds the searches that wait for a newer published state.
 	maxDeferred = 4096
 	// maxHeld bounds the packets that wait for the first configuration.
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -60,9 +60,9 @@
 }
 
 // nowhere says whether every backend server that may hold the flow denied it.
-func (e *entry) nowhere(now time.Time, all []*target) bool {
+func (e *entry) nowhere(now, heardAny time.Time, all []*target) bool {
 	for _, t := range all {
-		if !slices.Contains(e.absent, t.entry.ID) && !t.ended(now) {
+		if !slices.Contains(e.absent, t.entry.ID) && !t.ended(now, heardAny) {
 			return false
 		}
 	}
@@ -71,14 +71,15 @@
 
 // ended says whether the backend server is known to have ended, so that it
 // holds nothing: it announced its end, its registration is gone, and its agent
-// does not answer any more. A registration alone may vanish early.
-func (t *target) ended(now time.Time) bool {
+// does not answer while others do. A registration alone may vanish early.
+func (t *target) ended(now, heardAny time.Time) bool {
 	if !t.left() {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.asked.IsZero() && now.Sub(t.asked) > leftTimeout
+	waited := now.Sub(t.asked)
+	return !t.asked.IsZero() && waited > leftTimeout && waited <= searchTimeout && heardAny.Sub(t.asked) > leftTimeout/2
 }
 
 // left says whether the backend server announced its end and its registration
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -82,7 +82,7 @@
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
 	if t := b.current(p, x); t != nil {
-		if t.ended(now) {
+		if t.ended(now, b.heardAny()) {
 			b.lost(now, packet, x, "backend server has left", out)
 			return
 		}
@@ -96,12 +96,12 @@
 	}
 	x.search(now)
 	b.counts.searched.Add(1)
-	if x.nowhere(now, p.holders(f)) {
+	if x.nowhere(now, b.heardAny(), p.holders(f)) {
 		b.rule(now, p, f, packet, x, out)
 		return
 	}
 	for _, t := range p.holders(f) {
-		if t.ended(now) || slices.Contains(x.absent, t.entry.ID) {
+		if t.ended(now, b.heardAny()) || slices.Contains(x.absent, t.entry.ID) {
 			continue
 		}
 		b.send(now, t, f, currantturn.IntentSearch, packet, out)
@@ -193,7 +193,7 @@
 	now time.Time, t *target, f *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
 ) {
 	if intent == currantturn.IntentSearch {
-		t.ask(now)
+		t.ask(now, b.heardAny())
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
@@ -212,7 +212,7 @@
 	if t == nil || f == nil {
 		return
 	}
-	t.hear()
+	b.hear(now, t)
 	b.flows.Update(e.Packet.Flow, func(x *entry) *entry {
 		switch {
 		case x == nil:
@@ -337,7 +337,7 @@
 func (b *Balancer) rule(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	if !x.nowhere(now, p.holders(f)) {
+	if !x.nowhere(now, b.heardAny(), p.holders(f)) {
 		return
 	}
 	if x.needs > p.revision {
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -98,6 +98,23 @@
 		Expect(w.broken).To(BeEmpty())
 	})
 
+	It("are not reset by a balancer that was cut off from all agents for a while", func() {
+		w := calm(15, 1, 4, 40)
+		b := w.backends["verify-01"]
+		b.reg.State = currantturn.BackendDraining
+		w.publish()
+		b.gone = w.now
+		w.publish()
+		for _, d := range []time.Duration{400 * time.Millisecond, 1300 * time.Millisecond, 3 * time.Second} {
+			w.run(500 * time.Millisecond)
+			w.lost = func(_, _ netip.Addr) bool { return true }
+			w.run(d)
+			w.lost = nil
+			w.run(3 * time.Second)
+		}
+		Expect(w.broken).To(BeEmpty())
+	})
+
 	It("do not start at a draining backend server", func() {
 		w := calm(4, 2, 3, 0)
 		b := w.backends["verify-01"]
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -25,11 +25,15 @@
 	asked    time.Time // of the first search since the agent was heard; zero without one
 }
 
-// ask notes a search, which the agent answers at once.
-func (t *target) ask(now time.Time) {
+// ask notes a search, which the agent answers at once. It counts only while
+// other agents answer, since else the fault is on this side.
+func (t *target) ask(now, heardAny time.Time) {
+	if now.Sub(heardAny) > contactTimeout {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.asked.IsZero() {
+	if t.asked.IsZero() || now.Sub(t.asked) > searchTimeout {
 		t.asked = now
 	}
 }
