Search for a flow at the agents that rank first for it, and ask the others by a question

New flows are now placed among five backend servers that rank first by hash, a search asks those first, and the others 15 ms later without the packet. A balancer also stops being ready while no agent answers it, a flow is not reset because a backend server ended that was not chosen, and an agent's silence needs two questions.

--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -10,6 +10,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/backlog"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/shard"
 )
 
@@ -125,8 +126,33 @@
 	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime
 }
 
-// Handle does nothing: balancers send an agent packets only.
-func (a *Agent) Handle(time.Time, netip.AddrPort, currantturn.Message, *currantturn.Effects) {}
+// Handle answers a balancer's probe or question.
+func (a *Agent) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
+	switch m := m.(type) {
+	case relay.Probe:
+		a.hear(now, from)
+		out.Send(from, relay.Report{Load: a.load(now)})
+	case relay.Query:
+		a.hear(now, from)
+		a.learn(m.Revision)
+		a.query(now, from, m, out)
+	}
+}
+
+// query tells whether a flow is held here.
+func (a *Agent) query(now time.Time, from netip.AddrPort, m relay.Query, out *currantturn.Effects) {
+	a.flows.Update(m.Flow.Key(), func(r *record) *record {
+		switch {
+		case r == nil && !a.complete(now):
+			out.Send(from, relay.Absent{Flow: m.Flow, Revision: a.revision.Load(), Unsure: true})
+		case r == nil || r.progress == opening || !r.acknowledges(m.Acked):
+			out.Send(from, relay.Absent{Flow: m.Flow, Revision: a.revision.Load()})
+		default:
+			out.Send(from, relay.Held{Flow: m.Flow})
+		}
+		return r
+	})
+}
 
 // Configure does nothing: an agent follows the packets.
 func (a *Agent) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
--- a/internal/coordination/holding/answer.go
+++ b/internal/coordination/holding/answer.go
@@ -42,7 +42,7 @@
 		a.opens.Record(now.Sub(r.sentAt))
 		r.first, r.last, r.traced = p.Sequence, p.Sequence, true
 		out.Send(r.balancer, relay.Accepted{
-			Flow: relay.Flow{Caller: p.Flow.Caller, Service: p.Flow.Service}, Load: a.load(now),
+			Flow: relay.FlowOf(p.Flow), Load: a.load(now),
 		})
 	}
 	if end := p.Sequence + uint32(p.DataSize); r.traced && end-r.first < 1<<31 && end-r.first > r.last-r.first {
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -98,7 +98,7 @@
 		a.work.opened(1)
 	}
 	if d.intent == currantturn.IntentSearch {
-		d.out.Send(d.from, relay.Held{Flow: relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service}})
+		d.out.Send(d.from, relay.Held{Flow: relay.FlowOf(d.packet.Flow), Delivered: true})
 	}
 	r.seen = d.now
 	switch {
@@ -132,8 +132,7 @@
 	switch {
 	case d.intent == currantturn.IntentSearch:
 		d.out.Send(d.from, relay.Absent{
-			Flow:     relay.Flow{Caller: d.packet.Flow.Caller, Service: d.packet.Flow.Service},
-			Revision: a.revision.Load(),
+			Flow: relay.FlowOf(d.packet.Flow), Revision: a.revision.Load(),
 		})
 	case d.packet.Mark == currantturn.MarkOpening:
 		a.counts.declined.Add(1)
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -30,23 +30,38 @@
 	plan  atomic.Pointer[plan]
 	flows *shard.Map[currantturn.FlowKey, entry]
 	heard atomic.Int64 // Unix nanoseconds of the last sign of life of any agent
-
-	mu      sync.Mutex // guards the fields below and changes of the plan
-	rng     *rand.Rand
-	waiting []opening
-	held    [][]byte // packets that came before the first configuration
+	asked atomic.Int64 // Unix nanoseconds of the first probe since then, 0 without one
+
+	mu  sync.Mutex // guards the fields below and changes of the plan
+	rng *rand.Rand
+	// openings wait for the backend server's answer, searches for the agents'.
+	openings []waiting
+	searches []waiting
+	held     [][]byte // packets that came before the first configuration
 	// deferred are searches that wait for a newer published state.
 	deferred []currantturn.FlowKey
 	sweepAt  int
+	probed   time.Time
 	counts   counts
 }
 
-// opening is an opening packet whose backend server has not answered yet.
-type opening struct {
+// waiting is a flow for which something is due, in order of time.
+type waiting struct {
 	key currantturn.FlowKey
 	due time.Time
 }
 
+// takeDue takes those out that are due.
+func takeDue(all *[]waiting, now time.Time) []waiting {
+	n := 0
+	for n < len(*all) && !now.Before((*all)[n].due) {
+		n++
+	}
+	due := append([]waiting(nil), (*all)[:n]...)
+	*all = append((*all)[:0], (*all)[n:]...)
+	return due
+}
+
 // published is what a plan is made from.
 type published struct {
 	revision  uint64
@@ -102,6 +117,31 @@
 	return p != nil && len(p.ready) > 0
 }
 
+// Isolated says whether no agent answers this balancer, while it asks some; its
+// callers are better off with other balancers.
+func (b *Balancer) Isolated(now time.Time) bool {
+	asked := b.asked.Load()
+	return asked != 0 && now.UnixNano()-asked > int64(isolatedAfter)
+}
+
+// probe asks a few agents for a report, as long as none was heard lately.
+func (b *Balancer) probe(now time.Time, out *currantturn.Effects) {
+	p := b.plan.Load()
+	if p == nil || len(p.all) == 0 || now.Sub(b.heardAny()) < probeAfter {
+		return
+	}
+	b.asked.CompareAndSwap(0, now.UnixNano())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.probed) < probeEvery {
+		return
+	}
+	b.probed = now
+	for range min(probeFan, len(p.all)) {
+		out.Send(p.all[b.rng.IntN(len(p.all))].agent, relay.Probe{})
+	}
+}
+
 // Publish puts a published state in force.
 func (b *Balancer) Publish(now time.Time, s publication.State, out *currantturn.Effects) {
 	if s.Routing == nil {
@@ -152,9 +192,9 @@
 	case relay.Report:
 		t.report(now, m.Load)
 	case relay.Held:
-		b.found(now, m.Flow.Key(), t, out)
+		b.found(now, m, t, out)
 	case relay.Absent:
-		b.absent(now, m.Flow.Key(), t, m.Revision, out)
+		b.absent(now, m, t, out)
 	}
 }
 
@@ -162,6 +202,7 @@
 func (b *Balancer) hear(now time.Time, t *target) {
 	t.hear()
 	b.heard.Store(now.UnixNano())
+	b.asked.Store(0)
 }
 
 // heardAny is when any agent was heard last.
@@ -176,17 +217,16 @@
 // silent flows.
 func (b *Balancer) Tick(now time.Time, out *currantturn.Effects) {
 	b.mu.Lock()
-	n := 0
-	for n < len(b.waiting) && !now.Before(b.waiting[n].due) {
-		n++
-	}
-	due := append([]opening(nil), b.waiting[:n]...)
-	b.waiting = append(b.waiting[:0], b.waiting[n:]...)
+	openings, searches := takeDue(&b.openings, now), takeDue(&b.searches, now)
 	b.sweepAt++
 	number := b.sweepAt
 	b.mu.Unlock()
-	for _, o := range due {
+	for _, o := range openings {
 		b.overdue(now, o.key, out)
 	}
+	for _, s := range searches {
+		b.overdueSearch(now, s.key, out)
+	}
+	b.probe(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -13,6 +13,12 @@
 	avoidFor = 500 * time.Millisecond
 	// maxTries bounds the backend servers that one opening packet is sent to.
 	maxTries = 4
+	// choices is how many backend servers rank first for a flow: enough to spread
+	// work nearly as well as a choice among all.
+	choices = 5
+	// widenAfter is how long the nearest agents may take to answer a search: a few
+	// round trips between failure domains.
+	widenAfter = 15 * time.Millisecond
 	// searchTimeout is after how long a search starts anew: a caller's first two
 	// repeats fall within it.
 	searchTimeout = time.Second
@@ -28,9 +34,22 @@
 	// leftTimeout is how long the agent of a backend server that left may take
 	// to deny a flow: many round trips, but less than a caller's first two repeats.
 	leftTimeout = 150 * time.Millisecond
+	// leftAsks is how many questions the agent of a backend server that left may
+	// leave unanswered: one may have met a short cut.
+	leftAsks = 2
 	// contactTimeout is how long ago any agent may have been heard for the silence
-	// of one to mean anything; agents report at least once a second each.
-	contactTimeout = 500 * time.Millisecond
+	// of one to mean anything; with traffic, reports come every 100 ms.
+	contactTimeout = 150 * time.Millisecond
+	// probeAfter is after how much silence of all agents some are asked for a
+	// report; with traffic, reports come every 100 ms.
+	probeAfter = 300 * time.Millisecond
+	// probeEvery is the pause between probes.
+	probeEvery = 100 * time.Millisecond
+	// probeFan is how many agents are asked at a time, in case some are down.
+	probeFan = 4
+	// isolatedAfter is how long probes may stay unanswered until this balancer
+	// asks to be taken out of rotation.
+	isolatedAfter = 300 * time.Millisecond
 	// maxDeferred bounds the searches that wait for a newer published state.
 	maxDeferred = 4096
 	// maxHeld bounds the packets that wait for the first configuration.
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -25,6 +25,8 @@
 	due      time.Time // of the answer to the opening packet
 	asked    time.Time // start of the search
 	absent   []currantturn.BackendID
+	pending  []byte // packet that waits for the search
+	wide     bool   // all agents are asked
 	needs    uint64 // revision without which a search proves nothing
 	seen     time.Time
 	closed   time.Time
@@ -39,16 +41,18 @@
 }
 
 // search starts or continues a search for the holder.
-func (e *entry) search(now time.Time) {
+func (e *entry) search(now time.Time) (fresh bool) {
 	if e.progress == searching && now.Sub(e.asked) < searchTimeout {
-		return
+		return len(e.pending) == 0
 	}
-	*e = entry{progress: searching, asked: now, seen: now, acked: e.acked}
+	*e = entry{progress: searching, asked: now, seen: now, acked: e.acked, closed: e.closed}
+	return true
 }
 
 // settle makes a backend server the flow's holder.
 func (e *entry) settle(now time.Time, t *target) {
 	e.progress, e.holder, e.opening, e.absent, e.seen = known, t, nil, nil, now
+	e.pending, e.wide = nil, false
 }
 
 // deny takes one backend server's no, which rests on a published revision.
@@ -59,10 +63,15 @@
 	}
 }
 
+// denied says whether a backend server does not hold the flow.
+func (e *entry) denied(t *target, now, heardAny time.Time) bool {
+	return slices.Contains(e.absent, t.entry.ID) || t.ended(now, heardAny)
+}
+
 // nowhere says whether every backend server that may hold the flow denied it.
 func (e *entry) nowhere(now, heardAny time.Time, all []*target) bool {
 	for _, t := range all {
-		if !slices.Contains(e.absent, t.entry.ID) && !t.ended(now, heardAny) {
+		if !e.denied(t, now, heardAny) {
 			return false
 		}
 	}
@@ -79,7 +88,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	waited := now.Sub(t.asked)
-	return !t.asked.IsZero() && waited > leftTimeout && waited <= searchTimeout && heardAny.Sub(t.asked) > leftTimeout/2
+	return t.asks >= leftAsks && waited > leftTimeout && waited <= searchTimeout && heardAny.After(t.asked)
 }
 
 // left says whether the backend server announced its end and its registration
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -81,11 +81,7 @@
 func (b *Balancer) follow(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	if t := b.current(p, x); t != nil {
-		if t.ended(now, b.heardAny()) {
-			b.lost(now, packet, x, "backend server has left", out)
-			return
-		}
+	if t := b.current(p, x); t != nil && !t.ended(now, b.heardAny()) {
 		b.counts.known.Add(1)
 		intent := currantturn.IntentHeld
 		if t.left() {
@@ -94,18 +90,9 @@
 		b.send(now, t, f, intent, packet, out)
 		return
 	}
-	x.search(now)
-	b.counts.searched.Add(1)
-	if x.nowhere(now, b.heardAny(), p.holders(f)) {
-		b.rule(now, p, f, packet, x, out)
-		return
-	}
-	for _, t := range p.holders(f) {
-		if t.ended(now, b.heardAny()) || slices.Contains(x.absent, t.entry.ID) {
-			continue
-		}
-		b.send(now, t, f, currantturn.IntentSearch, packet, out)
-	}
+	// The flow may also be at another backend server that answered the opening
+	// packet, even if the one that was known has ended.
+	b.search(now, p, f, packet, x, out)
 }
 
 // current returns the entry's holder as the plan knows it now, or nil if it is
@@ -126,7 +113,7 @@
 func (b *Balancer) place(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	t := b.choose(now, p, f, x.tried)
+	t := b.choose(now, p, f, packet.Flow, x.tried)
 	if t == nil {
 		b.counts.refused.Add(1)
 		b.lost(now, packet, x, "no backend server takes new flows", out)
@@ -145,30 +132,34 @@
 		event.F("backend", t.entry.ID))
 	b.send(now, t, f, currantturn.IntentPlace, packet, out)
 	b.mu.Lock()
-	b.waiting = append(b.waiting, opening{key: packet.Flow, due: x.due})
+	b.openings = append(b.openings, waiting{key: packet.Flow, due: x.due})
 	b.mu.Unlock()
 }
 
-// choose returns the best backend server that was not tried yet, or nil.
+// choose returns the best backend server that was not tried yet, or nil: one of
+// the nearest if any of them answers.
 func (b *Balancer) choose(
-	now time.Time, p *plan, f *currantturn.FlowRoute, tried []currantturn.BackendID,
+	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, tried []currantturn.BackendID,
 ) *target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var targets []*target
-	var candidates []placement.Candidate
-	for _, t := range p.ready[b.share(f)] {
-		if slices.Contains(tried, t.entry.ID) {
-			continue
+	ready := p.ready[b.share(f)]
+	for _, all := range [][]*target{nearest(ready, flow), ready} {
+		var targets []*target
+		var candidates []placement.Candidate
+		for _, t := range all {
+			c := t.candidate(now, b.opts.Domain)
+			if slices.Contains(tried, t.entry.ID) || c.Avoid && len(all) < len(ready) {
+				continue
+			}
+			targets = append(targets, t)
+			candidates = append(candidates, c)
+		}
+		if best := placement.Choose(b.rng, candidates); best >= 0 {
+			return targets[best]
 		}
-		targets = append(targets, t)
-		candidates = append(candidates, t.candidate(now, b.opts.Domain))
-	}
-	best := placement.Choose(b.rng, candidates)
-	if best < 0 {
-		return nil
 	}
-	return targets[best]
+	return nil
 }
 
 // share draws the service of a new flow by the route's weights.
@@ -204,6 +195,16 @@
 	}})
 }
 
+// sendRaw sends a packet that was kept.
+func (b *Balancer) sendRaw(
+	now time.Time, t *target, f *currantturn.FlowRoute, intent currantturn.Intent, raw []byte, out *currantturn.Effects,
+) {
+	var packet currantturn.Packet
+	if err := b.opts.Codec.Decode(raw, currantturn.ToBackend, &packet); err == nil { // as it did before
+		b.send(now, t, f, intent, &packet, out)
+	}
+}
+
 // returned takes back a packet that an agent did not deliver.
 func (b *Balancer) returned(
 	now time.Time, p *plan, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects,
@@ -221,7 +222,7 @@
 			b.declined(now, p, f, t, &e.Packet, x, out)
 		case x.progress == searching:
 			x.deny(t.entry.ID, e.Revision)
-			b.rule(now, p, f, &e.Packet, x, out)
+			b.denied(now, p, f, e.Packet.Flow, x, out)
 		case x.holder != nil && x.holder.agent == from:
 			// The packet goes on at once to whoever holds the flow.
 			x.search(now)
@@ -273,85 +274,18 @@
 // accepted ends the wait for an answer to an opening packet.
 func (b *Balancer) accepted(now time.Time, key currantturn.FlowKey, t *target) {
 	b.flows.Update(key, func(x *entry) *entry {
-		if x != nil && x.progress == placing {
+		switch {
+		case x == nil || x.progress != placing:
+		case len(x.tried) > 1:
+			// Several may answer; the caller's next packet tells which one it chose.
+			*x = entry{progress: searching, asked: now, seen: now, acked: x.acked}
+		default:
 			x.settle(now, t)
 		}
 		return x
 	})
 }
 
-// found ends a search.
-func (b *Balancer) found(now time.Time, key currantturn.FlowKey, t *target, out *currantturn.Effects) {
-	b.flows.Update(key, func(x *entry) *entry {
-		if x == nil {
-			x = &entry{}
-		}
-		if x.progress == searching {
-			b.counts.found.Add(1)
-			out.Event(event.FlowFound, event.F("flow", key), event.F("backend", t.entry.ID), event.F("elapsed", now.Sub(x.asked)))
-		}
-		x.settle(now, t)
-		return x
-	})
-}
-
-// absent takes an agent's no to a search.
-func (b *Balancer) absent(now time.Time, key currantturn.FlowKey, t *target, revision uint64, out *currantturn.Effects) {
-	p := b.plan.Load()
-	f := p.routes[key.Service]
-	if f == nil {
-		return
-	}
-	b.flows.Update(key, func(x *entry) *entry {
-		if x == nil || x.progress != searching && (x.holder == nil || x.holder.agent != t.agent) {
-			return x
-		}
-		x.search(now)
-		x.deny(t.entry.ID, revision)
-		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
-		b.rule(now, p, f, &packet, x, out)
-		return b.kept(x)
-	})
-}
-
-// resume decides a search again that waited for a newer published state.
-func (b *Balancer) resume(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
-	p := b.plan.Load()
-	f := p.routes[key.Service]
-	if f == nil {
-		return
-	}
-	b.flows.Update(key, func(x *entry) *entry {
-		if x == nil || x.progress != searching {
-			return x
-		}
-		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
-		b.rule(now, p, f, &packet, x, out)
-		return b.kept(x)
-	})
-}
-
-// rule decides a search: if nobody holds the flow, its caller is told at once.
-// While agents have heard of a newer published state, a backend server that is
-// not known here may hold it.
-func (b *Balancer) rule(
-	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
-) {
-	if !x.nowhere(now, b.heardAny(), p.holders(f)) {
-		return
-	}
-	if x.needs > p.revision {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		if len(b.deferred) < maxDeferred {
-			b.deferred = append(b.deferred, packet.Flow)
-		}
-		return
-	}
-	b.counts.absent.Add(1)
-	b.lost(now, packet, x, "nobody holds the flow", out)
-}
-
 // lost resets a flow that no backend server holds, and forgets it.
 func (b *Balancer) lost(now time.Time, packet *currantturn.Packet, x *entry, reason string, out *currantturn.Effects) {
 	closing := !x.closed.IsZero() || packet.Mark == currantturn.MarkReset || packet.Mark == currantturn.MarkClosing
--- /dev/null
+++ b/internal/coordination/steering/search.go
@@ -0,0 +1,196 @@
+package steering
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
+	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+)
+
+// nearest returns the targets that rank first for a flow. New flows are placed
+// among them, so that any balancer finds a flow again by asking few agents.
+func nearest(all []*target, flow currantturn.FlowKey) []*target {
+	if len(all) <= choices {
+		return all
+	}
+	hash := rank.Key{}.Flow(flow)
+	var scores [choices]float64
+	var top [choices]*target
+	n := 0
+	for _, t := range all {
+		s := rank.Score(hash, t.seed, 1)
+		if n == choices && s <= scores[n-1] {
+			continue
+		}
+		if n < choices {
+			n++
+		}
+		i := n - 1
+		for i > 0 && scores[i-1] < s {
+			scores[i], top[i] = scores[i-1], top[i-1]
+			i--
+		}
+		scores[i], top[i] = s, t
+	}
+	return top[:n]
+}
+
+// search asks for the holder of a flow: the nearest agents get the packet
+// itself, and the others a question if that does not help.
+func (b *Balancer) search(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	fresh := x.search(now)
+	if b.settled(now, p, f, packet, x, out) {
+		return
+	}
+	b.counts.searched.Add(1)
+	if len(x.pending) == 0 || packet.DataSize > 0 {
+		x.pending = bytes.Clone(packet.Payload)
+	}
+	for _, t := range nearest(p.holders(f), packet.Flow) {
+		if !x.denied(t, now, b.heardAny()) {
+			b.send(now, t, f, currantturn.IntentSearch, packet, out)
+		}
+	}
+	if !fresh {
+		b.widen(now, p, f, packet.Flow, x, out)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.searches = append(b.searches, waiting{key: packet.Flow, due: now.Add(widenAfter)})
+}
+
+// widen asks all other agents that may hold the flow.
+func (b *Balancer) widen(
+	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry, out *currantturn.Effects,
+) {
+	x.wide = true
+	all := p.holders(f)
+	first := nearest(all, flow)
+	for _, t := range all {
+		if slices.Contains(first, t) || x.denied(t, now, b.heardAny()) {
+			continue
+		}
+		t.ask(now, b.heardAny())
+		out.Send(t.agent, relay.Query{Flow: relay.FlowOf(flow), Acked: x.acked, Revision: p.revision})
+	}
+}
+
+// overdueSearch widens a search that the nearest agents did not end.
+func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
+		if !x.wide {
+			b.widen(now, p, f, key, x, out)
+		}
+	})
+}
+
+// searchOf calls f for a flow that is searched for.
+func (b *Balancer) searchOf(key currantturn.FlowKey, f func(*plan, *currantturn.FlowRoute, *entry)) {
+	p := b.plan.Load()
+	route := p.routes[key.Service]
+	if route == nil {
+		return
+	}
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil || x.progress != searching {
+			return x
+		}
+		f(p, route, x)
+		return b.kept(x)
+	})
+}
+
+// found ends a search; the packet that waited goes to the holder unless the
+// search itself has delivered it.
+func (b *Balancer) found(now time.Time, m relay.Held, t *target, out *currantturn.Effects) {
+	key := m.Flow.Key()
+	b.flows.Update(key, func(x *entry) *entry {
+		if x == nil {
+			x = &entry{}
+		}
+		if x.progress == searching {
+			b.counts.found.Add(1)
+			out.Event(event.FlowFound, event.F("flow", key), event.F("backend", t.entry.ID), event.F("elapsed", now.Sub(x.asked)))
+		}
+		pending := x.pending
+		x.settle(now, t)
+		if f := b.plan.Load().routes[key.Service]; f != nil && !m.Delivered && len(pending) > 0 {
+			b.sendRaw(now, t, f, currantturn.IntentHeld, pending, out)
+		}
+		return x
+	})
+}
+
+// absent takes an agent's no to a search.
+func (b *Balancer) absent(now time.Time, m relay.Absent, t *target, out *currantturn.Effects) {
+	key := m.Flow.Key()
+	b.flows.Update(key, func(x *entry) *entry {
+		if x != nil && x.holder != nil && x.holder.agent == t.agent {
+			x.search(now)
+		}
+		return x
+	})
+	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
+		if m.Unsure {
+			if len(x.pending) > 0 {
+				b.sendRaw(now, t, f, currantturn.IntentSearch, x.pending, out)
+			}
+			return
+		}
+		x.deny(t.entry.ID, m.Revision)
+		b.denied(now, p, f, key, x, out)
+	})
+}
+
+// denied goes on with a search after a no.
+func (b *Balancer) denied(
+	now time.Time, p *plan, f *currantturn.FlowRoute, key currantturn.FlowKey, x *entry, out *currantturn.Effects,
+) {
+	packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
+	if b.settled(now, p, f, &packet, x, out) || x.wide {
+		return
+	}
+	for _, t := range nearest(p.holders(f), key) {
+		if !x.denied(t, now, b.heardAny()) {
+			return
+		}
+	}
+	b.widen(now, p, f, key, x, out)
+}
+
+// resume decides a search again that waited for a newer published state.
+func (b *Balancer) resume(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
+		x.wide = false // there may be newcomers to ask
+		b.denied(now, p, f, key, x, out)
+	})
+}
+
+// settled decides a search that every agent answered with no: the caller is
+// told at once. While agents have heard of a newer published state, a backend
+// server that is not known here may hold the flow.
+func (b *Balancer) settled(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) bool {
+	if !x.nowhere(now, b.heardAny(), p.holders(f)) {
+		return false
+	}
+	if x.needs > p.revision {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.deferred) < maxDeferred {
+			b.deferred = append(b.deferred, packet.Flow)
+		}
+		return true
+	}
+	b.counts.absent.Add(1)
+	b.lost(now, packet, x, "nobody holds the flow", out)
+	return true
+}
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/placement"
+	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/roster"
 )
@@ -15,6 +16,7 @@
 type target struct {
 	entry roster.Entry
 	agent netip.AddrPort // link address
+	seed  uint64         // of its rank for a flow
 
 	mu       sync.Mutex
 	load     relay.Load
@@ -22,19 +24,25 @@
 	sent     int // flows sent since the last report
 	avoid    time.Time
 	warm     time.Time // end of the warm-up
-	asked    time.Time // of the first search since the agent was heard; zero without one
+	asked    time.Time // of the last question that counts since the agent was heard
+	asks     int       // such questions
 }
 
-// ask notes a search, which the agent answers at once. It counts only while
-// other agents answer, since else the fault is on this side.
+// ask notes a question, which the agent answers at once. It counts only while
+// other agents answer, since else the fault is on this side, and only after the
+// answer to the one before is overdue.
 func (t *target) ask(now, heardAny time.Time) {
 	if now.Sub(heardAny) > contactTimeout {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.asked.IsZero() || now.Sub(t.asked) > searchTimeout {
+	switch waited := now.Sub(t.asked); {
+	case t.asks == 0 || waited > searchTimeout:
+		t.asked, t.asks = now, 1
+	case waited > leftTimeout:
 		t.asked = now
+		t.asks++
 	}
 }
 
@@ -42,7 +50,7 @@
 func (t *target) hear() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asked = time.Time{}
+	t.asks = 0
 }
 
 // report takes the load that the agent tells.
@@ -148,7 +156,7 @@
 }
 
 func newTarget(now time.Time, e *roster.Entry, agent netip.AddrPort, old *plan) *target {
-	t := &target{entry: *e, agent: agent}
+	t := &target{entry: *e, agent: agent, seed: rank.Seed(e.ID)}
 	if e.WarmUp > 0 {
 		t.warm = now.Add(e.WarmUp)
 	}
@@ -161,7 +169,7 @@
 	}
 	was.mu.Lock()
 	defer was.mu.Unlock()
-	t.load, t.reported, t.sent, t.avoid, t.asked = was.load, was.reported, was.sent, was.avoid, was.asked
+	t.load, t.reported, t.sent, t.avoid, t.asked, t.asks = was.load, was.reported, was.sent, was.avoid, was.asked, was.asks
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
 	}
--- a/internal/core/flow_agent.go
+++ b/internal/core/flow_agent.go
@@ -72,7 +72,9 @@
 }
 
 func (a *FlowAgent) fromBalancer(from netip.AddrPort, frame []byte) {
-	a.node.receive(from, frame, a, func(netip.AddrPort, currantturn.Message) {})
+	a.node.receive(from, frame, a, func(from netip.AddrPort, m currantturn.Message) {
+		a.node.decide(func(now time.Time, out *currantturn.Effects) { a.Handle(now, from, m, out) })
+	})
 }
 
 func (a *FlowAgent) fromBackend(from netip.AddrPort, packet []byte) {
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -86,7 +86,7 @@
 
 // Serving says whether the routers may send packets here.
 func (b *FlowBalancer) Serving() bool {
-	return b.Ready() && !b.stopping.Load()
+	return b.Ready() && !b.stopping.Load() && !b.Isolated(b.node.clock())
 }
 
 // Stopping takes the balancer out of the routers' rotation; it goes on with
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -44,9 +44,25 @@
 // Kind names the message on the wire.
 func (Accepted) Kind() currantturn.Kind { return "accepted" }
 
+// FlowOf returns a flow's key on the wire.
+func FlowOf(k currantturn.FlowKey) Flow {
+	return Flow{Caller: k.Caller, Service: k.Service}
+}
+
+// Query asks an agent whether it holds a flow.
+type Query struct {
+	Flow     Flow   `cbor:"1,keyasint"`
+	Acked    uint32 `cbor:"2,keyasint"` // by the caller's last packet
+	Revision uint64 `cbor:"3,keyasint"` // of the newest published state that the balancer knows of
+}
+
+// Kind names the message on the wire.
+func (Query) Kind() currantturn.Kind { return "query" }
+
 // Held tells a balancer that searched that the flow is held here.
 type Held struct {
-	Flow Flow `cbor:"1,keyasint"`
+	Flow      Flow `cbor:"1,keyasint"`
+	Delivered bool `cbor:"2,keyasint"` // the search brought a packet, which was delivered
 }
 
 // Kind names the message on the wire.
@@ -56,6 +72,7 @@
 type Absent struct {
 	Flow     Flow   `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"` // newest published state that the agent has heard of
+	Unsure   bool   `cbor:"3,keyasint"` // only a packet tells, since the flow may be older than the agent
 }
 
 // Kind names the message on the wire.
@@ -69,9 +86,17 @@
 // Kind names the message on the wire.
 func (Report) Kind() currantturn.Kind { return "report" }
 
+// Probe asks an agent for a report at once.
+type Probe struct{}
+
+// Kind names the message on the wire.
+func (Probe) Kind() currantturn.Kind { return "probe" }
+
 func init() {
 	message.Register[Accepted]()
+	message.Register[Query]()
 	message.Register[Held]()
 	message.Register[Absent]()
 	message.Register[Report]()
+	message.Register[Probe]()
 }
