Tell small changes of the roster in heartbeats; the fastest links read the store

Cause: every change of a registration made each balancer pull the whole state, 23 kB with 250 routes, from a watcher that may sit on a link of 11 Mbit/s. Heartbeats carry up to four changed registrations, pulls leave out a routing that the reader has, and balancers with the fastest links watch.

--- a/internal/coordination/publication/constants.go
+++ b/internal/coordination/publication/constants.go
@@ -23,6 +23,9 @@
 	// changeFan bounds those that hear of a change at once; the others hear of it
 	// from them.
 	changeFan = 32
+	// maxChanged bounds the registrations in one heartbeat, which has to fit into a
+	// datagram.
+	maxChanged = 4
 	// peersTold bounds the addresses in one heartbeat.
 	peersTold = 16
 	// maxPeers bounds the balancers that are known.
--- a/internal/coordination/publication/feed.go
+++ b/internal/coordination/publication/feed.go
@@ -18,6 +18,8 @@
 	Self  netip.AddrPort   // link address
 	Seeds []netip.AddrPort // link addresses of balancers that may be asked first
 	Seed  uint64           // of its random choices
+	// Capacity of the network link, Mbit/s: those with the fastest links watch.
+	Capacity float64
 	// ApplyWithin is the time within which a published configuration has to be
 	// in force.
 	ApplyWithin time.Duration
@@ -26,8 +28,33 @@
 // State is what is published at one revision of the store; it is never changed.
 type State struct {
 	Revision uint64               `cbor:"1,keyasint"`
-	Routing  *currantturn.Routing `cbor:"2,keyasint"`
+	Routing  *currantturn.Routing `cbor:"2,keyasint"` // nil if the reader knows it
 	Servers  []roster.Entry       `cbor:"3,keyasint"`
+	Version  currantturn.Version  `cbor:"4,keyasint"` // of the routing
+}
+
+// Known is the version of the routing, 0 without one.
+func (s *State) Known() currantturn.Version {
+	if s.Routing == nil {
+		return 0
+	}
+	return s.Routing.Version
+}
+
+// News is what a heartbeat brings.
+type News string
+
+// Kinds of news.
+const (
+	NewsNone    News = "none"
+	NewsChanged News = "changed" // the state has changed
+	NewsPull    News = "pull"    // the sender's state is worth a pull
+)
+
+// peer is another balancer.
+type peer struct {
+	heard    time.Time
+	capacity float64
 }
 
 // Step is what a balancer does next about the store.
@@ -60,7 +87,9 @@
 	lost      time.Time // since when this process's own reads fail
 	trusted   time.Time // until then a missing registration may be a lapse
 	failures  int
-	peers     map[netip.AddrPort]time.Time // when each was heard last
+	peers     map[netip.AddrPort]peer
+	changed   []roster.Entry // by the last watch, if nothing else changed
+	since     uint64         // revision before that
 	beaten    time.Time
 	counts    Counters
 }
@@ -89,8 +118,8 @@
 		c.Version = uint64(f.state.Routing.Version)
 		c.Unsure = uint64(max(now.Sub(f.confirmed), 0).Milliseconds())
 	}
-	for _, heard := range f.peers {
-		if now.Sub(heard) < peerTimeout {
+	for _, p := range f.peers {
+		if now.Sub(p.heard) < peerTimeout {
 			c.Peers++
 		}
 	}
@@ -108,11 +137,11 @@
 		opts:    opts,
 		rng:     rand.New(rand.NewPCG(opts.Seed, 7)),
 		servers: roster.New(),
-		peers:   make(map[netip.AddrPort]time.Time),
+		peers:   make(map[netip.AddrPort]peer),
 	}
 	for _, s := range opts.Seeds {
 		if s != opts.Self {
-			f.peers[s] = now.Add(-peerTimeout) // to be told, not yet alive
+			f.peers[s] = peer{heard: now.Add(-peerTimeout)} // to be told, not yet alive
 		}
 	}
 	return f
@@ -155,16 +184,23 @@
 
 // watches says whether this balancer is among the watchers of those alive.
 func (f *Feed) watches(now time.Time) bool {
-	own := order(f.opts.Self)
 	before := 0
-	for at, heard := range f.peers {
-		if now.Sub(heard) < peerTimeout && order(at) < own {
+	for at, p := range f.peers {
+		if now.Sub(p.heard) < peerTimeout && f.precedes(at, p.capacity) {
 			before++
 		}
 	}
 	return before < watchers
 }
 
+// precedes says whether another balancer watches rather than this one.
+func (f *Feed) precedes(at netip.AddrPort, capacity float64) bool {
+	if capacity != f.opts.Capacity {
+		return capacity > f.opts.Capacity
+	}
+	return order(at) < order(f.opts.Self)
+}
+
 func order(at netip.AddrPort) uint64 {
 	return xxhash.Sum64String(at.String())
 }
@@ -192,6 +228,7 @@
 		}
 	}
 	f.servers.Replace(now, all, f.trusted)
+	f.changed = nil
 	next.Servers = f.servers.Entries()
 	f.state, f.confirmed = next, began
 }
@@ -210,9 +247,27 @@
 		f.take(now, i, &next, out)
 	}
 	next.Servers = f.servers.Entries()
+	f.note(l, &next)
 	f.state, f.confirmed = next, now
 }
 
+// note keeps a small change for the next heartbeat.
+func (f *Feed) note(l currantturn.Listing, next *State) {
+	f.changed, f.since = nil, f.state.Revision
+	if next.Routing != f.state.Routing || len(l.Items) > maxChanged {
+		return
+	}
+	for _, i := range l.Items {
+		id := i.Removed
+		if i.Registration != nil {
+			id = i.Registration.ID
+		}
+		if e, ok := f.servers.Get(id); ok {
+			f.changed = append(f.changed, e)
+		}
+	}
+}
+
 func (f *Feed) take(now time.Time, i currantturn.Item, next *State, out *currantturn.Effects) {
 	switch {
 	case i.Routing != nil:
@@ -269,34 +324,59 @@
 func (f *Feed) Pulled(s State, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if s.Routing == nil && s.Version == f.state.Known() {
+		s.Routing = f.state.Routing
+	}
 	if s.Revision <= f.state.Revision || s.Routing == nil {
 		return
 	}
 	f.counts.Pulls++
+	f.changed = nil
 	s.Routing = f.newer(s.Routing, out)
 	f.servers.Restore(s.Servers)
 	s.Servers = f.servers.Entries()
 	f.state = s
 }
 
-// Handle takes a peer's heartbeat and tells whether its state is worth a pull.
-func (f *Feed) Handle(now time.Time, from netip.AddrPort, h Heartbeat) (pull bool) {
+// Handle takes a peer's heartbeat.
+func (f *Feed) Handle(now time.Time, from netip.AddrPort, h Heartbeat) News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[from] = now
+	f.peers[from] = peer{heard: now, capacity: h.Capacity}
 	for _, p := range h.Peers {
 		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
-			f.peers[p] = now.Add(-peerTimeout)
+			f.peers[p] = peer{heard: now.Add(-peerTimeout)}
 		}
 	}
-	if h.Version > 0 && (f.state.Routing == nil || h.Revision > f.state.Revision) {
-		return true
+	switch {
+	case h.Version == 0 || h.Revision < f.state.Revision:
+		return NewsNone // an older state that the store confirmed late says nothing new
+	case h.Revision > f.state.Revision:
+		if h.Since != f.state.Revision || h.Version != f.state.Known() || len(h.Changed) == 0 {
+			return NewsPull
+		}
+		f.adopt(h)
+		f.confirm(now, h.AgeMS)
+		return NewsChanged
+	}
+	f.confirm(now, h.AgeMS)
+	return NewsNone
+}
+
+// adopt takes a small change that a peer tells of.
+func (f *Feed) adopt(h Heartbeat) {
+	for _, e := range h.Changed {
+		f.servers.Adopt(e)
 	}
-	// An older revision that the store confirmed late says nothing new.
-	if at := now.Add(-time.Duration(h.AgeMS) * time.Millisecond); h.Revision == f.state.Revision && at.After(f.confirmed) {
+	f.state = State{Revision: h.Revision, Routing: f.state.Routing, Servers: f.servers.Entries()}
+	f.changed, f.since = h.Changed, h.Since
+}
+
+// confirm notes how long ago the store confirmed the state.
+func (f *Feed) confirm(now time.Time, age uint32) {
+	if at := now.Add(-time.Duration(age) * time.Millisecond); at.After(f.confirmed) {
 		f.confirmed = at
 	}
-	return false
 }
 
 // Tick sends heartbeats when due and expires what lapsed; it tells of a change.
@@ -323,8 +403,8 @@
 func (f *Feed) beat(now time.Time, fan int, out *currantturn.Effects) {
 	f.beaten = now
 	all := make([]netip.AddrPort, 0, len(f.peers))
-	for at, heard := range f.peers {
-		if now.Sub(heard) > forgetPeer && !slices.Contains(f.opts.Seeds, at) {
+	for at, p := range f.peers {
+		if now.Sub(p.heard) > forgetPeer && !slices.Contains(f.opts.Seeds, at) {
 			delete(f.peers, at)
 			continue
 		}
@@ -332,9 +412,9 @@
 	}
 	slices.SortFunc(all, netip.AddrPort.Compare)
 	f.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	h := Heartbeat{Revision: f.state.Revision, Peers: all[:min(len(all), peersTold)]}
-	if f.state.Routing != nil {
-		h.Version = f.state.Routing.Version
+	h := Heartbeat{
+		Revision: f.state.Revision, Version: f.state.Known(), Capacity: f.opts.Capacity,
+		Peers: all[:min(len(all), peersTold)], Since: f.since, Changed: f.changed,
 	}
 	h.AgeMS = uint32(min(now.Sub(f.confirmed), time.Hour).Milliseconds())
 	for _, at := range all[:min(len(all), fan)] {
--- a/internal/coordination/publication/feed_test.go
+++ b/internal/coordination/publication/feed_test.go
@@ -29,6 +29,7 @@
 	at      uint64 // store's revision
 	servers []currantturn.Registration
 	calls   int
+	pulls   int
 	refuse  func(n int) bool // whose calls the store refuses
 	silent  bool             // watches hear nothing
 	cut     func(from, to int) bool
@@ -98,8 +99,12 @@
 	}
 	for _, s := range out.Sends {
 		for j, y := range f.nodes {
-			if y.at == s.To && (f.cut == nil || !f.cut(i, j)) && y.feed.Handle(f.now, x.at, s.Message.(publication.Heartbeat)) {
+			if y.at != s.To || f.cut != nil && f.cut(i, j) {
+				continue
+			}
+			if y.feed.Handle(f.now, x.at, s.Message.(publication.Heartbeat)) == publication.NewsPull {
 				y.feed.Pulled(x.feed.State(), &out)
+				f.pulls++
 			}
 		}
 	}
@@ -134,7 +139,10 @@
 	}
 	x.busy = f.now.Add(plan.Wait)
 	x.done = func(out *currantturn.Effects) {
-		l := currantturn.Listing{Revision: f.at, Items: append(f.routing().Items, f.registrations().Items...)}
+		l := currantturn.Listing{Revision: f.at, Items: f.registrations().Items}
+		if r := x.feed.State().Routing; r == nil || r.Version != f.version {
+			l.Items = append(l.Items, f.routing().Items...)
+		}
 		if f.silent {
 			l = currantturn.Listing{Revision: plan.After}
 		}
@@ -216,6 +224,35 @@
 		everywhere(f)
 	})
 
+	It("carries a changed registration in heartbeats, without pulls", func() {
+		f := newFleet(12)
+		f.play(3 * time.Second)
+		before := f.pulls
+		for range 5 {
+			f.servers[0].WarmUp += time.Second
+			f.at++
+			f.play(time.Second)
+			for _, x := range f.nodes {
+				Expect(x.feed.State().Revision).To(Equal(f.at))
+				Expect(x.feed.State().Servers[0].WarmUp).To(Equal(f.servers[0].WarmUp))
+			}
+		}
+		Expect(f.pulls - before).To(BeNumerically("<=", 3))
+	})
+
+	It("is watched by those with the fastest links", func() {
+		f := newFleet(6)
+		for i, x := range f.nodes {
+			x.feed = publication.New(f.now, publication.Options{
+				Self: x.at, Seeds: []netip.AddrPort{f.nodes[0].at}, Seed: uint64(i), ApplyWithin: applyWithin, Capacity: float64(10 + i/4),
+			})
+		}
+		f.play(3 * time.Second)
+		for i, x := range f.nodes {
+			Expect(x.feed.Next(f.now).Step == publication.StepPause).To(Equal(i < 4), "balancer %d", i)
+		}
+	})
+
 	It("never goes back when a store shows an older state", func() {
 		f := newFleet(3)
 		f.play(2 * time.Second)
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -24,9 +24,11 @@
 	State       netip.AddrPort   // the published state is read here by other balancers
 	Seeds       []netip.AddrPort // state addresses of other balancers
 	ApplyWithin time.Duration
+	Capacity    float64 // of the network link, Mbit/s
 	Seed        uint64
 	// Pull reads the published state at another balancer's state address.
-	Pull   func(context.Context, netip.AddrPort) (publication.State, error)
+	// and leaves out the routing of the known version.
+	Pull   func(ctx context.Context, at netip.AddrPort, known currantturn.Version) (publication.State, error)
 	Clock  func() time.Time
 	Report func(currantturn.Event)
 }
@@ -66,6 +68,7 @@
 		callers: callers,
 		feed: publication.New(opts.Clock(), publication.Options{
 			Self: opts.Link, Seeds: seeds, Seed: opts.Seed, ApplyWithin: opts.ApplyWithin,
+			Capacity: opts.Capacity,
 		}),
 	}
 	b.node = &relayNode{
@@ -130,15 +133,24 @@
 func (b *FlowBalancer) fromProcess(from netip.AddrPort, frame []byte) {
 	b.node.receive(from, frame, b, func(from netip.AddrPort, m currantturn.Message) {
 		if h, ok := m.(publication.Heartbeat); ok {
-			if b.feed.Handle(b.node.clock(), from, h) && b.pulling.CompareAndSwap(false, true) {
-				go b.pull(from)
-			}
+			b.heartbeat(from, h)
 			return
 		}
 		b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Handle(now, from, m, out) })
 	})
 }
 
+func (b *FlowBalancer) heartbeat(from netip.AddrPort, h publication.Heartbeat) {
+	switch b.feed.Handle(b.node.clock(), from, h) {
+	case publication.NewsChanged:
+		b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Publish(now, b.feed.State(), out) })
+	case publication.NewsPull:
+		if b.pulling.CompareAndSwap(false, true) {
+			go b.pull(from)
+		}
+	}
+}
+
 func (b *FlowBalancer) tick(now time.Time, out *currantturn.Effects) {
 	if b.feed.Tick(now, out) {
 		b.Publish(now, b.feed.State(), out)
@@ -154,7 +166,8 @@
 	defer b.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	s, err := b.opts.Pull(ctx, netip.AddrPortFrom(peer.Addr(), b.opts.State.Port()))
+	own := b.feed.State()
+	s, err := b.opts.Pull(ctx, netip.AddrPortFrom(peer.Addr(), b.opts.State.Port()), own.Known())
 	if err != nil {
 		b.node.failed(peer, err)
 		return
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -82,7 +82,8 @@
 		Codec: platform.Packets{}, Store: store, Domain: o.Process.FailureDomain,
 		Link: o.Relay.LinkAddress, Callers: o.Relay.CallerAddress, State: o.Relay.StateAddress,
 		Seeds: o.Relay.Seeds, ApplyWithin: o.Store.ApplyWithin, Seed: seed,
-		Pull: published.Read, Clock: time.Now, Report: x.report,
+		Capacity: o.Relay.LinkCapacity,
+		Pull:     published.Read, Clock: time.Now, Report: x.report,
 	})
 	if err != nil {
 		return err
--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -23,6 +23,7 @@
 
 	StateAddress netip.AddrPort // of a balancer
 	Seeds        []netip.AddrPort
+	LinkCapacity float64 // Mbit/s
 
 	OutboundAddress netip.AddrPort // of an agent
 	BackendAddress  netip.AddrPort
@@ -56,6 +57,8 @@
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Relay.StateAddress }).required().only(balancer),
 		key("seeds", "", "State addresses of balancers that are told of this one first.",
 			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Relay.Seeds }).only(balancer),
+		key("link_capacity", "1000", "Capacity of the VM's network link; balancers with the fastest links read the store for the others.",
+			rates("Mbit/s", 0.1, 1e6), func(o *Options) *float64 { return &o.Relay.LinkCapacity }).only(balancer),
 		key("outbound_address", "", "UDP address that the backend server sends to.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Relay.OutboundAddress }).required().only(agent),
 		key("backend_address", "", "UDP address of the backend server.",
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -45,6 +45,12 @@
 	r.entries[x.ID] = &Entry{Registration: x}
 }
 
+// Adopt takes an entry of another roster.
+func (r *Roster) Adopt(e Entry) {
+	delete(r.suspect, e.ID)
+	r.entries[e.ID] = &e
+}
+
 // Remove takes the end of a registration. One that vanishes before trusted,
 // while the store cannot tell a lapse from an end, stays until then unless the
 // backend server announced its end.
@@ -101,6 +107,14 @@
 	return changed
 }
 
+// Get returns the entry of a backend server.
+func (r *Roster) Get(id currantturn.BackendID) (e Entry, ok bool) {
+	if p := r.entries[id]; p != nil {
+		return *p, true
+	}
+	return e, false
+}
+
 // Entries returns all entries in order of their IDs; they are not changed later.
 func (r *Roster) Entries() []Entry {
 	all := make([]Entry, 0, len(r.entries))
@@ -115,8 +129,7 @@
 func (r *Roster) Restore(all []Entry) {
 	clear(r.entries)
 	clear(r.suspect)
-	for i := range all {
-		e := all[i]
-		r.entries[e.ID] = &e
+	for _, e := range all {
+		r.Adopt(e)
 	}
 }
--- a/internal/transport/published/published.go
+++ b/internal/transport/published/published.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -16,12 +18,25 @@
 
 const (
 	path = "/published"
+	// knownVersion is the parameter with the version of the reader's routing.
+	knownVersion = "known_version"
 	// maxStateBytes bounds a state: the store's values hold up to 1 MB each.
 	maxStateBytes = 16 << 20
 	// dialTimeout bounds the connection to a balancer milliseconds away.
 	dialTimeout = 300 * time.Millisecond
 )
 
+// encoding keeps the milliseconds of a time.
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are fixed
+	}
+	return m
+}
+
 // client opens a connection for each read: pulls are rare, and a connection
 // that went silent would hold the next one up.
 var client = &http.Client{Transport: &http.Transport{
@@ -32,8 +47,13 @@
 // Handler serves the newest state.
 func Handler(state func() publication.State) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-		body, err := cbor.Marshal(state())
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+		s := state()
+		s.Version = s.Known()
+		if r.URL.Query().Get(knownVersion) == strconv.FormatUint(uint64(s.Version), 10) {
+			s.Routing = nil // by far the largest part, which changes rarely
+		}
+		body, err := encoding.Marshal(s)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
@@ -44,10 +64,11 @@
 	return mux
 }
 
-// Read reads the state of the balancer at an address.
-func Read(ctx context.Context, at netip.AddrPort) (publication.State, error) {
+// Read reads the state of the balancer at an address; the routing is left out
+// if it has the known version.
+func Read(ctx context.Context, at netip.AddrPort, known currantturn.Version) (publication.State, error) {
 	var s publication.State
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s=%d", at, path, knownVersion, known), nil)
 	if err != nil {
 		return s, eris.Wrap(err, "request for the published state")
 	}
--- /dev/null
+++ b/internal/transport/published/published_test.go
@@ -0,0 +1,70 @@
+package published_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/suite"
+	"github.com/currantturn/currantturn/internal/transport/published"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPublished(t *testing.T) { suite.Run(t, "published") }
+
+var _ = Describe("the published state", func() {
+	state := publication.State{
+		Revision: 40,
+		Routing: &currantturn.Routing{Version: 7, Routes: []currantturn.FlowRoute{{
+			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []currantturn.Share{{Service: "verify", Weight: 1}},
+			LatencyObjective: 120 * time.Millisecond,
+		}}},
+		Servers: []roster.Entry{{
+			Registration: currantturn.Registration{
+				ID: "a", Service: "verify", Address: netip.MustParseAddrPort("10.1.0.9:8080"), Slots: 3,
+				State: currantturn.BackendDraining, Born: time.UnixMilli(1767225600123).UTC(),
+			},
+			Gone: time.UnixMilli(1767225700456).UTC(), Left: true,
+		}},
+	}
+	serve := func(h http.Handler) netip.AddrPort {
+		s := httptest.NewServer(h)
+		DeferCleanup(s.Close)
+		return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	}
+
+	It("comes whole to one that knows nothing", func() {
+		at := serve(published.Handler(func() publication.State { return state }))
+		got, err := published.Read(context.Background(), at, 0)
+		Expect(err).NotTo(HaveOccurred())
+		want := state
+		want.Version = 7
+		Expect(got).To(Equal(want))
+	})
+
+	It("comes without the routing to one that knows it", func() {
+		at := serve(published.Handler(func() publication.State { return state }))
+		got, err := published.Read(context.Background(), at, 7)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Routing).To(BeNil())
+		Expect(got.Version).To(Equal(currantturn.Version(7)))
+		Expect(got.Servers).To(Equal(state.Servers))
+	})
+
+	It("is refused when it can't be read", func() {
+		at := serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) }))
+		_, err := published.Read(context.Background(), at, 0)
+		Expect(err).To(MatchError(currantturn.ErrMalformed))
+		at = serve(http.NotFoundHandler())
+		_, err = published.Read(context.Background(), at, 0)
+		Expect(err).To(MatchError(currantturn.ErrUnavailable))
+	})
+})
