--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -33,12 +33,15 @@
 	service atomic.Pointer[currantturn.ServiceName]
 	// revision is the newest published state that any balancer told of.
 	revision atomic.Uint64
-	flows    *shard.Map[currantturn.FlowKey, record]
-	work     work
-	waits    *metric.Histogram // from a request's arrival until it runs, if it had to wait
-	opens    *metric.Histogram // from an opening packet to its answer
-	serves   *metric.Histogram // from a request's last wait to its answer
-	counts   counts
+	// born is the start of the backend server that any balancer told of, in Unix
+	// milliseconds; both clocks are this VM's.
+	born   atomic.Int64
+	flows  *shard.Map[currantturn.FlowKey, record]
+	work   work
+	waits  *metric.Histogram // from a request's arrival until it runs, if it had to wait
+	opens  *metric.Histogram // from an opening packet to its answer
+	serves *metric.Histogram // from a request's last wait to its answer
+	counts counts
 
 	mu         sync.Mutex // guards the fields below
 	waiting    []unanswered
@@ -121,9 +124,12 @@
 	}
 }
 
-// complete says whether a flow without a record is certainly not held here.
+// complete says whether a flow without a record is certainly not held here: all
+// flows of the backend server have passed this process. One that started a
+// moment before it can't have got any, since it gets packets from here only.
 func (a *Agent) complete(now time.Time) bool {
-	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime
+	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime ||
+		a.born.Load() > a.opts.Started.Add(-startGap).UnixMilli()
 }
 
 // Handle answers a balancer's probe or question.
@@ -134,24 +140,28 @@
 		out.Send(from, relay.Report{Load: a.load(now)})
 	case relay.Query:
 		a.hear(now, from)
-		a.learn(m.Revision)
-		a.query(now, from, m, out)
+		a.learn(m.Revision, relay.Time(m.BornMS))
+		out.Send(from, a.query(now, m.Flows))
 	}
 }
 
-// query tells whether a flow is held here.
-func (a *Agent) query(now time.Time, from netip.AddrPort, m relay.Query, out *currantturn.Effects) {
-	a.flows.Update(m.Flow.Key(), func(r *record) *record {
-		switch {
-		case r == nil && !a.complete(now):
-			out.Send(from, relay.Absent{Flow: m.Flow, Revision: a.revision.Load(), Unsure: true})
-		case r == nil || r.progress == opening || !r.acknowledges(m.Acked):
-			out.Send(from, relay.Absent{Flow: m.Flow, Revision: a.revision.Load()})
-		default:
-			out.Send(from, relay.Held{Flow: m.Flow})
-		}
-		return r
-	})
+// query tells which of some flows are held here.
+func (a *Agent) query(now time.Time, asked relay.Flows) relay.Answer {
+	answer := relay.Answer{Revision: a.revision.Load()}
+	for key, acked := range asked.All() {
+		list := &answer.Held
+		a.flows.Update(key, func(r *record) *record {
+			switch {
+			case r == nil && !a.complete(now):
+				list = &answer.Unsure
+			case r == nil || r.progress == opening || !r.acknowledges(acked):
+				list = &answer.Absent
+			}
+			return r
+		})
+		*list = list.Append(key, acked)
+	}
+	return answer
 }
 
 // Configure does nothing: an agent follows the packets.
--- a/internal/coordination/holding/constants.go
+++ b/internal/coordination/holding/constants.go
@@ -16,6 +16,9 @@
 	// flowLifetime is how long a silent flow is known, and after what uptime an
 	// agent knows every flow of its backend server.
 	flowLifetime = time.Minute
+	// startGap is how much earlier than the agent a backend server may start on the
+	// same VM, when both start with it: less than a killed agent takes to be back.
+	startGap = time.Second
 	// closedFor is how long a closed flow is known for late packets.
 	closedFor = 5 * time.Second
 	// requestTimeout is how long a request without an answer takes a slot: the
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -23,7 +23,7 @@
 // Route decides on a caller's packet that a balancer sent here.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
 	a.hear(now, from)
-	a.learn(e.Revision)
+	a.learn(e.Revision, e.Born)
 	d := &arrival{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
@@ -43,12 +43,20 @@
 	}
 }
 
-// learn keeps the newest revision that a balancer told of. A balancer that
-// knows less than this may not know a backend server that holds the flow.
-func (a *Agent) learn(revision uint64) {
+// learn keeps the newest revision that a balancer told of, and the latest start
+// of the backend server. A balancer that knows less than that revision may not
+// know a backend server that holds the flow.
+func (a *Agent) learn(revision uint64, born time.Time) {
 	for {
 		old := a.revision.Load()
 		if revision <= old || a.revision.CompareAndSwap(old, revision) {
+			break
+		}
+	}
+	ms := relay.UnixMilliseconds(born)
+	for {
+		old := a.born.Load()
+		if ms <= old || a.born.CompareAndSwap(old, ms) {
 			return
 		}
 	}
@@ -98,7 +106,7 @@
 		a.work.opened(1)
 	}
 	if d.intent == currantturn.IntentSearch {
-		d.out.Send(d.from, relay.Held{Flow: relay.FlowOf(d.packet.Flow), Delivered: true})
+		d.out.Send(d.from, relay.Held{Flow: relay.FlowOf(d.packet.Flow)})
 	}
 	r.seen = d.now
 	switch {
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -37,7 +37,10 @@
 	// openings wait for the backend server's answer, searches for the agents'.
 	openings []waiting
 	searches []waiting
-	held     [][]byte // packets that came before the first configuration
+	rechecks []waiting
+	// questions are the flows that agents are asked for with the next tick.
+	questions map[netip.AddrPort]relay.Flows
+	held      [][]byte // packets that came before the first configuration
 	// deferred are searches that wait for a newer published state.
 	deferred []currantturn.FlowKey
 	sweepAt  int
@@ -97,6 +100,8 @@
 		opts:  opts,
 		flows: shard.New[currantturn.FlowKey, entry](opts.Flows),
 		rng:   rand.New(rand.NewPCG(opts.Seed, 11)),
+
+		questions: make(map[netip.AddrPort]relay.Flows),
 	}
 }
 
@@ -192,9 +197,11 @@
 	case relay.Report:
 		t.report(now, m.Load)
 	case relay.Held:
-		b.found(now, m, t, out)
+		b.found(now, m.Flow.Key(), t, true, out)
 	case relay.Absent:
-		b.absent(now, m, t, out)
+		b.absent(now, m.Flow.Key(), t, m.Revision, out)
+	case relay.Answer:
+		b.answered(now, m, t, out)
 	}
 }
 
@@ -217,7 +224,7 @@
 // silent flows.
 func (b *Balancer) Tick(now time.Time, out *currantturn.Effects) {
 	b.mu.Lock()
-	openings, searches := takeDue(&b.openings, now), takeDue(&b.searches, now)
+	openings, searches, rechecks := takeDue(&b.openings, now), takeDue(&b.searches, now), takeDue(&b.rechecks, now)
 	b.sweepAt++
 	number := b.sweepAt
 	b.mu.Unlock()
@@ -227,6 +234,10 @@
 	for _, s := range searches {
 		b.overdueSearch(now, s.key, out)
 	}
+	for _, s := range rechecks {
+		b.recheck(now, s.key, out)
+	}
+	b.flushQuestions(out)
 	b.probe(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -31,12 +31,17 @@
 	searchAll = 64
 	// reportTimeout is how long a reported load counts.
 	reportTimeout = 3 * time.Second
-	// leftTimeout is how long the agent of a backend server that left may take
-	// to deny a flow: many round trips, but less than a caller's first two repeats.
-	leftTimeout = 150 * time.Millisecond
-	// leftAsks is how many questions the agent of a backend server that left may
-	// leave unanswered: one may have met a short cut.
-	leftAsks = 2
+	// answerTimeout is how long an agent may take to answer a question: many round
+	// trips between failure domains.
+	answerTimeout = 150 * time.Millisecond
+	// recheckEvery is how often a search is repeated that some agents do not answer.
+	recheckEvery = answerTimeout + 10*time.Millisecond
+	// silentTimeout is after how long the silence of an agent ends searches; a
+	// killed process is back in about a second, and a caller waits hardly longer.
+	silentTimeout = 600 * time.Millisecond
+	// silentAsks is how many questions an agent leaves unanswered before its silence
+	// means anything: one may have met a short cut.
+	silentAsks = 2
 	// contactTimeout is how long ago any agent may have been heard for the silence
 	// of one to mean anything; with traffic, reports come every 100 ms.
 	contactTimeout = 150 * time.Millisecond
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -65,7 +65,7 @@
 
 // denied says whether a backend server does not hold the flow.
 func (e *entry) denied(t *target, now, heardAny time.Time) bool {
-	return slices.Contains(e.absent, t.entry.ID) || t.ended(now, heardAny)
+	return slices.Contains(e.absent, t.entry.ID) || t.absent(now, heardAny)
 }
 
 // nowhere says whether every backend server that may hold the flow denied it.
@@ -79,20 +79,32 @@
 }
 
 // ended says whether the backend server is known to have ended, so that it
-// holds nothing: it announced its end, its registration is gone, and its agent
-// does not answer while others do. A registration alone may vanish early.
+// holds nothing: its registration is gone, and its agent does not answer while
+// others do. A registration alone may vanish early.
 func (t *target) ended(now, heardAny time.Time) bool {
-	if !t.left() {
-		return false
-	}
+	return t.gone() && t.unanswered(now, heardAny) > 0
+}
+
+// absent says whether the backend server holds nothing that a caller could
+// reach: it has ended, or nothing was heard of its VM for a while.
+func (t *target) absent(now, heardAny time.Time) bool {
+	silent := t.unanswered(now, heardAny)
+	return silent > 0 && t.gone() || silent > silentTimeout
+}
+
+// unanswered is for how long the agent has not answered questions while other
+// agents did, zero if it may still answer.
+func (t *target) unanswered(now, heardAny time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	waited := now.Sub(t.asked)
-	return t.asks >= leftAsks && waited > leftTimeout && waited <= searchTimeout && heardAny.After(t.asked)
+	if t.asks < silentAsks || waited <= answerTimeout || waited > searchTimeout || !heardAny.After(t.asked) {
+		return 0
+	}
+	return now.Sub(t.silent)
 }
 
-// left says whether the backend server announced its end and its registration
-// is gone.
-func (t *target) left() bool {
-	return !t.entry.Gone.IsZero() && t.entry.Left
+// gone says whether the backend server's registration is gone.
+func (t *target) gone() bool {
+	return !t.entry.Gone.IsZero()
 }
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -84,7 +84,7 @@
 	if t := b.current(p, x); t != nil && !t.ended(now, b.heardAny()) {
 		b.counts.known.Add(1)
 		intent := currantturn.IntentHeld
-		if t.left() {
+		if t.gone() {
 			intent = currantturn.IntentSearch // which an agent that still runs answers
 		}
 		b.send(now, t, f, intent, packet, out)
@@ -131,9 +131,7 @@
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
 		event.F("backend", t.entry.ID))
 	b.send(now, t, f, currantturn.IntentPlace, packet, out)
-	b.mu.Lock()
-	b.openings = append(b.openings, waiting{key: packet.Flow, due: x.due})
-	b.mu.Unlock()
+	b.later(&b.openings, packet.Flow, x.due)
 }
 
 // choose returns the best backend server that was not tried yet, or nil: one of
@@ -188,7 +186,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Revision: b.plan.Load().revision,
+		Revision: b.plan.Load().revision, Born: t.entry.Born,
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: f.Priority, Objective: f.LatencyObjective, Timeout: f.Timeout,
 		},
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -61,9 +62,7 @@
 		b.widen(now, p, f, packet.Flow, x, out)
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.searches = append(b.searches, waiting{key: packet.Flow, due: now.Add(widenAfter)})
+	b.later(&b.searches, packet.Flow, now.Add(widenAfter))
 }
 
 // widen asks all other agents that may hold the flow.
@@ -71,26 +70,82 @@
 	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry, out *currantturn.Effects,
 ) {
 	x.wide = true
-	all := p.holders(f)
-	first := nearest(all, flow)
-	for _, t := range all {
-		if slices.Contains(first, t) || x.denied(t, now, b.heardAny()) {
+	b.question(now, p, f, flow, x, nearest(p.holders(f), flow))
+}
+
+// question asks the agents that may hold the flow and have not denied it, but
+// for some.
+func (b *Balancer) question(
+	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry, but []*target,
+) {
+	for _, t := range p.holders(f) {
+		if slices.Contains(but, t) || x.denied(t, now, b.heardAny()) {
 			continue
 		}
 		t.ask(now, b.heardAny())
-		out.Send(t.agent, relay.Query{Flow: relay.FlowOf(flow), Acked: x.acked, Revision: p.revision})
+		b.enqueue(t.agent, flow, x.acked)
 	}
 }
 
+// enqueue adds a question to those that go to an agent with the next tick.
+func (b *Balancer) enqueue(agent netip.AddrPort, flow currantturn.FlowKey, acked uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.questions[agent] = b.questions[agent].Append(flow, acked)
+}
+
+// flushQuestions sends the questions, many flows in one message, so that a
+// restart of everything does not fill thin links.
+func (b *Balancer) flushQuestions(out *currantturn.Effects) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.plan.Load()
+	if p == nil || len(b.questions) == 0 {
+		return
+	}
+	for _, t := range p.all {
+		list := b.questions[t.agent]
+		for list.Len() > 0 {
+			var head relay.Flows
+			head, list = list.Cut(relay.MaxFlows)
+			out.Send(t.agent, relay.Query{
+				Flows: head, Revision: p.revision, BornMS: relay.UnixMilliseconds(t.entry.Born),
+			})
+		}
+	}
+	clear(b.questions)
+}
+
 // overdueSearch widens a search that the nearest agents did not end.
 func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
 		if !x.wide {
 			b.widen(now, p, f, key, x, out)
 		}
+		b.later(&b.rechecks, key, now.Add(recheckEvery))
+	})
+}
+
+// recheck asks those again that did not answer, until the search is over.
+func (b *Balancer) recheck(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
+		packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
+		if b.settled(now, p, f, &packet, x, out) || now.Sub(x.asked) > searchTimeout {
+			return
+		}
+		b.question(now, p, f, key, x, nil)
+		b.later(&b.rechecks, key, now.Add(recheckEvery))
 	})
 }
 
+// later notes that something is due for a flow; every list has one delay, so
+// that it stays in order of time.
+func (b *Balancer) later(list *[]waiting, key currantturn.FlowKey, due time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*list = append(*list, waiting{key: key, due: due})
+}
+
 // searchOf calls f for a flow that is searched for.
 func (b *Balancer) searchOf(key currantturn.FlowKey, f func(*plan, *currantturn.FlowRoute, *entry)) {
 	p := b.plan.Load()
@@ -107,10 +162,26 @@
 	})
 }
 
+// answered takes an agent's answer to questions.
+func (b *Balancer) answered(now time.Time, m relay.Answer, t *target, out *currantturn.Effects) {
+	for key := range m.Held.All() {
+		b.found(now, key, t, false, out)
+	}
+	for key := range m.Absent.All() {
+		b.absent(now, key, t, m.Revision, out)
+	}
+	for key := range m.Unsure.All() {
+		b.searchOf(key, func(_ *plan, f *currantturn.FlowRoute, x *entry) {
+			if len(x.pending) > 0 {
+				b.sendRaw(now, t, f, currantturn.IntentSearch, x.pending, out)
+			}
+		})
+	}
+}
+
 // found ends a search; the packet that waited goes to the holder unless the
 // search itself has delivered it.
-func (b *Balancer) found(now time.Time, m relay.Held, t *target, out *currantturn.Effects) {
-	key := m.Flow.Key()
+func (b *Balancer) found(now time.Time, key currantturn.FlowKey, t *target, delivered bool, out *currantturn.Effects) {
 	b.flows.Update(key, func(x *entry) *entry {
 		if x == nil {
 			x = &entry{}
@@ -121,7 +192,7 @@
 		}
 		pending := x.pending
 		x.settle(now, t)
-		if f := b.plan.Load().routes[key.Service]; f != nil && !m.Delivered && len(pending) > 0 {
+		if f := b.plan.Load().routes[key.Service]; f != nil && !delivered && len(pending) > 0 {
 			b.sendRaw(now, t, f, currantturn.IntentHeld, pending, out)
 		}
 		return x
@@ -129,8 +200,7 @@
 }
 
 // absent takes an agent's no to a search.
-func (b *Balancer) absent(now time.Time, m relay.Absent, t *target, out *currantturn.Effects) {
-	key := m.Flow.Key()
+func (b *Balancer) absent(now time.Time, key currantturn.FlowKey, t *target, revision uint64, out *currantturn.Effects) {
 	b.flows.Update(key, func(x *entry) *entry {
 		if x != nil && x.holder != nil && x.holder.agent == t.agent {
 			x.search(now)
@@ -138,13 +208,7 @@
 		return x
 	})
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
-		if m.Unsure {
-			if len(x.pending) > 0 {
-				b.sendRaw(now, t, f, currantturn.IntentSearch, x.pending, out)
-			}
-			return
-		}
-		x.deny(t.entry.ID, m.Revision)
+		x.deny(t.entry.ID, revision)
 		b.denied(now, p, f, key, x, out)
 	})
 }
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -26,6 +26,7 @@
 	warm     time.Time // end of the warm-up
 	asked    time.Time // of the last question that counts since the agent was heard
 	asks     int       // such questions
+	silent   time.Time // of the first of them
 }
 
 // ask notes a question, which the agent answers at once. It counts only while
@@ -39,8 +40,8 @@
 	defer t.mu.Unlock()
 	switch waited := now.Sub(t.asked); {
 	case t.asks == 0 || waited > searchTimeout:
-		t.asked, t.asks = now, 1
-	case waited > leftTimeout:
+		t.asked, t.silent, t.asks = now, now, 1
+	case waited > answerTimeout:
 		t.asked = now
 		t.asks++
 	}
@@ -169,7 +170,8 @@
 	}
 	was.mu.Lock()
 	defer was.mu.Unlock()
-	t.load, t.reported, t.sent, t.avoid, t.asked, t.asks = was.load, was.reported, was.sent, was.avoid, was.asked, was.asks
+	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
+	t.asked, t.asks, t.silent = was.asked, was.asks, was.silent
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
 	}
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -21,11 +21,12 @@
 	intentAt    = 1
 	slotsAt     = 2
 	priorityAt  = 3
-	objectiveAt = 4 // milliseconds, 2 bytes, big-endian
-	timeoutAt   = 6 // milliseconds, 2 bytes, big-endian
-	revisionAt  = 8 // 8 bytes, big-endian
-	nameBytesAt = 16
-	packetHead  = 17
+	objectiveAt = 4  // milliseconds, 2 bytes, big-endian
+	timeoutAt   = 6  // milliseconds, 2 bytes, big-endian
+	revisionAt  = 8  // 8 bytes, big-endian
+	bornAt      = 16 // Unix milliseconds, 8 bytes, big-endian; 0 if not told
+	nameBytesAt = 24
+	packetHead  = 25
 	maxByte     = 1<<8 - 1
 	maxShort    = 1<<16 - 1
 )
@@ -47,10 +48,27 @@
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Objective))
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Timeout))
 	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
+	dst = binary.BigEndian.AppendUint64(dst, uint64(UnixMilliseconds(e.Born)))
 	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
 
+// UnixMilliseconds is a time on the wire, 0 for none.
+func UnixMilliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// Time is the time of Unix milliseconds, none for 0.
+func Time(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
 func milliseconds(d time.Duration) uint16 {
 	return uint16(min(max(d.Milliseconds(), 0), maxShort))
 }
@@ -93,6 +111,7 @@
 		Timeout:   time.Duration(binary.BigEndian.Uint16(frame[timeoutAt:])) * time.Millisecond,
 	}
 	e.Revision = binary.BigEndian.Uint64(frame[revisionAt:])
+	e.Born = Time(int64(binary.BigEndian.Uint64(frame[bornAt:])))
 	name := frame[packetHead : packetHead+int(frame[nameBytesAt])]
 	if string(name) == string(own) {
 		e.Service = own
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -49,30 +49,42 @@
 	return Flow{Caller: k.Caller, Service: k.Service}
 }
 
-// Query asks an agent whether it holds a flow.
+// Query asks an agent which of some flows it holds.
 type Query struct {
-	Flow     Flow   `cbor:"1,keyasint"`
-	Acked    uint32 `cbor:"2,keyasint"` // by the caller's last packet
-	Revision uint64 `cbor:"3,keyasint"` // of the newest published state that the balancer knows of
+	Flows    Flows  `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // of the newest published state that the balancer knows of
+	BornMS   int64  `cbor:"3,keyasint"` // start of the backend server as it is registered, Unix milliseconds; 0 if not told
 }
 
 // Kind names the message on the wire.
 func (Query) Kind() currantturn.Kind { return "query" }
 
-// Held tells a balancer that searched that the flow is held here.
+// Answer tells a balancer which of the flows that it asked for are held here.
+type Answer struct {
+	Held   Flows `cbor:"1,keyasint,omitempty"`
+	Absent Flows `cbor:"2,keyasint,omitempty"`
+	// Unsure lists flows that may be older than the agent: only a packet tells.
+	Unsure   Flows  `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"4,keyasint"` // newest published state that the agent has heard of
+}
+
+// Kind names the message on the wire.
+func (Answer) Kind() currantturn.Kind { return "answer" }
+
+// Held tells a balancer that searched with a packet that it was delivered to
+// the flow's backend server.
 type Held struct {
-	Flow      Flow `cbor:"1,keyasint"`
-	Delivered bool `cbor:"2,keyasint"` // the search brought a packet, which was delivered
+	Flow Flow `cbor:"1,keyasint"`
 }
 
 // Kind names the message on the wire.
 func (Held) Kind() currantturn.Kind { return "held" }
 
-// Absent tells a balancer that searched that the flow is not held here.
+// Absent tells a balancer that searched with a packet that the flow is not held
+// here.
 type Absent struct {
 	Flow     Flow   `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"` // newest published state that the agent has heard of
-	Unsure   bool   `cbor:"3,keyasint"` // only a packet tells, since the flow may be older than the agent
 }
 
 // Kind names the message on the wire.
@@ -95,6 +107,7 @@
 func init() {
 	message.Register[Accepted]()
 	message.Register[Query]()
+	message.Register[Answer]()
 	message.Register[Held]()
 	message.Register[Absent]()
 	message.Register[Report]()
--- a/packet.go
+++ b/packet.go
@@ -100,5 +100,6 @@
 	Packet    Packet
 	// With packets of opaque flows:
 	Demand   Demand
-	Revision uint64 // of the newest published state that the sender knows of
+	Revision uint64    // of the newest published state that the sender knows of
+	Born     time.Time // start of the receiver's backend server as it is registered; zero if not told
 }
