Let agents prove absence after a restart of everything, and send questions together

Agents that had restarted could not tell whether an unknown flow was older than themselves, so each search sent the packet to each of them. A balancer now tells how long ago a backend server was seen to have just started; an agent that started with it knows all its flows. Questions are sent every 50 ms, many flows in one message, the wait for an answer to an opening packet doubles with each try, and of two registrations with one address the newer counts.

Ruled out: processor time, pulls of the state.

--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -33,8 +33,8 @@
 	service atomic.Pointer[currantturn.ServiceName]
 	// revision is the newest published state that any balancer told of.
 	revision atomic.Uint64
-	// born is the start of the backend server that any balancer told of, in Unix
-	// milliseconds; both clocks are this VM's.
+	// born is when the backend server was seen to have just started, in Unix
+	// nanoseconds of this VM's clock; 0 if unknown.
 	born   atomic.Int64
 	flows  *shard.Map[currantturn.FlowKey, record]
 	work   work
@@ -129,7 +129,7 @@
 // moment before it can't have got any, since it gets packets from here only.
 func (a *Agent) complete(now time.Time) bool {
 	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime ||
-		a.born.Load() > a.opts.Started.Add(-startGap).UnixMilli()
+		a.born.Load() > a.opts.Started.Add(-startGap).UnixNano()
 }
 
 // Handle answers a balancer's probe or question.
@@ -140,7 +140,7 @@
 		out.Send(from, relay.Report{Load: a.load(now)})
 	case relay.Query:
 		a.hear(now, from)
-		a.learn(m.Revision, relay.Time(m.BornMS))
+		a.learn(now, m.Revision, time.Duration(m.AgeMS)*time.Millisecond)
 		out.Send(from, a.query(now, m.Flows))
 	}
 }
--- a/internal/coordination/holding/constants.go
+++ b/internal/coordination/holding/constants.go
@@ -27,8 +27,9 @@
 	// maxHeldPackets bounds the packets of one waiting request; callers have at
 	// most 16 in flight.
 	maxHeldPackets = 16
-	// reportEvery is how often balancers hear a changed load.
-	reportEvery = 100 * time.Millisecond
+	// reportEvery is how often balancers hear a changed load; answers to opening
+	// packets tell it as well.
+	reportEvery = 200 * time.Millisecond
 	// refreshEvery is how often they hear an unchanged one.
 	refreshEvery = time.Second
 	// heardWithin is how long a balancer gets reports after its last packet.
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -23,7 +23,7 @@
 // Route decides on a caller's packet that a balancer sent here.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
 	a.hear(now, from)
-	a.learn(e.Revision, e.Born)
+	a.learn(now, e.Revision, e.BackendAge)
 	d := &arrival{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
@@ -43,20 +43,23 @@
 	}
 }
 
-// learn keeps the newest revision that a balancer told of, and the latest start
-// of the backend server. A balancer that knows less than that revision may not
+// learn keeps the newest revision that a balancer told of, and when the backend
+// server was seen to have just started. A balancer that knows less than that revision may not
 // know a backend server that holds the flow.
-func (a *Agent) learn(revision uint64, born time.Time) {
+func (a *Agent) learn(now time.Time, revision uint64, age time.Duration) {
 	for {
 		old := a.revision.Load()
 		if revision <= old || a.revision.CompareAndSwap(old, revision) {
 			break
 		}
 	}
-	ms := relay.UnixMilliseconds(born)
+	if age == 0 {
+		return
+	}
+	born := now.Add(-age).UnixNano()
 	for {
 		old := a.born.Load()
-		if ms <= old || a.born.CompareAndSwap(old, ms) {
+		if born <= old || a.born.CompareAndSwap(old, born) {
 			return
 		}
 	}
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -34,12 +34,14 @@
 
 	mu  sync.Mutex // guards the fields below and changes of the plan
 	rng *rand.Rand
-	// openings wait for the backend server's answer, searches for the agents'.
-	openings []waiting
+	// openings wait for the backend server's answer, by tries; searches for the
+	// agents'.
+	openings [maxTries - 1][]waiting
 	searches []waiting
 	rechecks []waiting
-	// questions are the flows that agents are asked for with the next tick.
+	// questions are the flows that agents will be asked for.
 	questions map[netip.AddrPort]relay.Flows
+	flushed   time.Time
 	held      [][]byte // packets that came before the first configuration
 	// deferred are searches that wait for a newer published state.
 	deferred []currantturn.FlowKey
@@ -224,7 +226,11 @@
 // silent flows.
 func (b *Balancer) Tick(now time.Time, out *currantturn.Effects) {
 	b.mu.Lock()
-	openings, searches, rechecks := takeDue(&b.openings, now), takeDue(&b.searches, now), takeDue(&b.rechecks, now)
+	var openings []waiting
+	for i := range b.openings {
+		openings = append(openings, takeDue(&b.openings[i], now)...)
+	}
+	searches, rechecks := takeDue(&b.searches, now), takeDue(&b.rechecks, now)
 	b.sweepAt++
 	number := b.sweepAt
 	b.mu.Unlock()
@@ -237,7 +243,7 @@
 	for _, s := range rechecks {
 		b.recheck(now, s.key, out)
 	}
-	b.flushQuestions(out)
+	b.flushQuestions(now, out)
 	b.probe(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -11,8 +11,9 @@
 	acceptTimeout = 70 * time.Millisecond
 	// avoidFor is how long a backend server that did not answer is avoided.
 	avoidFor = 500 * time.Millisecond
-	// maxTries bounds the backend servers that one opening packet is sent to.
-	maxTries = 4
+	// maxTries bounds the backend servers that one opening packet is sent to; the
+	// timeout doubles with each, so that a full link is not filled further.
+	maxTries = 3
 	// choices is how many backend servers rank first for a flow: enough to spread
 	// work nearly as well as a choice among all.
 	choices = 5
@@ -34,8 +35,11 @@
 	// answerTimeout is how long an agent may take to answer a question: many round
 	// trips between failure domains.
 	answerTimeout = 150 * time.Millisecond
+	// questionsEvery is how often questions are sent: together, since each message
+	// costs an agent's and a balancer's processor time and thin links.
+	questionsEvery = 50 * time.Millisecond
 	// recheckEvery is how often a search is repeated that some agents do not answer.
-	recheckEvery = answerTimeout + 10*time.Millisecond
+	recheckEvery = answerTimeout + questionsEvery
 	// silentTimeout is after how long the silence of an agent ends searches; a
 	// killed process is back in about a second, and a caller waits hardly longer.
 	silentTimeout = 600 * time.Millisecond
@@ -43,10 +47,10 @@
 	// means anything: one may have met a short cut.
 	silentAsks = 2
 	// contactTimeout is how long ago any agent may have been heard for the silence
-	// of one to mean anything; with traffic, reports come every 100 ms.
-	contactTimeout = 150 * time.Millisecond
+	// of one to mean anything; with traffic, reports come every 200 ms from each.
+	contactTimeout = 300 * time.Millisecond
 	// probeAfter is after how much silence of all agents some are asked for a
-	// report; with traffic, reports come every 100 ms.
+	// report; with traffic, reports come every 200 ms from each.
 	probeAfter = 300 * time.Millisecond
 	// probeEvery is the pause between probes.
 	probeEvery = 100 * time.Millisecond
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -97,8 +97,11 @@
 func (t *target) unanswered(now, heardAny time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	waited := now.Sub(t.asked)
-	if t.asks < silentAsks || waited <= answerTimeout || waited > searchTimeout || !heardAny.After(t.asked) {
+	waited, missed := now.Sub(t.asked), t.asks
+	if waited <= answerTimeout {
+		missed-- // the last one may still be answered
+	}
+	if missed < silentAsks || waited > searchTimeout || !heardAny.After(t.silent.Add(answerTimeout)) {
 		return 0
 	}
 	return now.Sub(t.silent)
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -125,13 +125,15 @@
 		b.counts.replaced.Add(1)
 	}
 	t.take()
-	x.progress, x.holder, x.due = placing, t, now.Add(acceptTimeout)
+	x.progress, x.holder, x.due = placing, t, now.Add(acceptTimeout<<len(x.tried))
 	x.opening = bytes.Clone(packet.Payload)
 	x.tried = append(x.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
 		event.F("backend", t.entry.ID))
 	b.send(now, t, f, currantturn.IntentPlace, packet, out)
-	b.later(&b.openings, packet.Flow, x.due)
+	if tries := len(x.tried); tries < maxTries { // then the caller's own copies go on
+		b.later(&b.openings[tries-1], packet.Flow, x.due)
+	}
 }
 
 // choose returns the best backend server that was not tried yet, or nil: one of
@@ -186,7 +188,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Revision: b.plan.Load().revision, Born: t.entry.Born,
+		Revision: b.plan.Load().revision, BackendAge: t.age(now),
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: f.Priority, Objective: f.LatencyObjective, Timeout: f.Timeout,
 		},
@@ -255,9 +257,6 @@
 			return x
 		}
 		x.holder.shun(now)
-		if len(x.tried) >= maxTries {
-			return x // the caller's own copies go on
-		}
 		var packet currantturn.Packet
 		if err := b.opts.Codec.Decode(x.opening, currantturn.ToBackend, &packet); err != nil {
 			return nil
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// enqueue adds a question to those that go to an agent with the next tick.
+// enqueue adds a question to those that go to an agent together.
 func (b *Balancer) enqueue(agent netip.AddrPort, flow currantturn.FlowKey, acked uint32) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,20 +96,21 @@
 
 // flushQuestions sends the questions, many flows in one message, so that a
 // restart of everything does not fill thin links.
-func (b *Balancer) flushQuestions(out *currantturn.Effects) {
+func (b *Balancer) flushQuestions(now time.Time, out *currantturn.Effects) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.plan.Load()
-	if p == nil || len(b.questions) == 0 {
+	if p == nil || len(b.questions) == 0 || now.Sub(b.flushed) < questionsEvery {
 		return
 	}
+	b.flushed = now
 	for _, t := range p.all {
 		list := b.questions[t.agent]
 		for list.Len() > 0 {
 			var head relay.Flows
 			head, list = list.Cut(relay.MaxFlows)
 			out.Send(t.agent, relay.Query{
-				Flows: head, Revision: p.revision, BornMS: relay.UnixMilliseconds(t.entry.Born),
+				Flows: head, Revision: p.revision, AgeMS: relay.AgeMS(t.age(now)),
 			})
 		}
 	}
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -17,6 +17,7 @@
 	entry roster.Entry
 	agent netip.AddrPort // link address
 	seed  uint64         // of its rank for a flow
+	born  time.Time      // when it was seen to have just started; zero if unknown
 
 	mu       sync.Mutex
 	load     relay.Load
@@ -54,6 +55,15 @@
 	t.asks = 0
 }
 
+// age is how long ago the backend server was seen to have just started, 0 if
+// that is not known.
+func (t *target) age(now time.Time) time.Duration {
+	if t.born.IsZero() {
+		return 0
+	}
+	return max(now.Sub(t.born), time.Millisecond)
+}
+
 // report takes the load that the agent tells.
 func (t *target) report(now time.Time, load relay.Load) {
 	t.mu.Lock()
@@ -153,25 +163,33 @@
 	if !a.Gone.IsZero() {
 		return a.Gone.After(b.Gone)
 	}
-	return a.Born.After(b.Born)
+	if !a.Born.Equal(b.Born) {
+		return a.Born.After(b.Born)
+	}
+	return a.Created > b.Created
 }
 
 func newTarget(now time.Time, e *roster.Entry, agent netip.AddrPort, old *plan) *target {
 	t := &target{entry: *e, agent: agent, seed: rank.Seed(e.ID)}
+	t.born = e.Born
 	if e.WarmUp > 0 {
 		t.warm = now.Add(e.WarmUp)
+		if e.Born.IsZero() {
+			t.born = now
+		}
 	}
 	if old == nil {
 		return t
 	}
 	was := old.byAgent[agent]
-	if was == nil || was.entry.ID != e.ID || !was.entry.Born.Equal(e.Born) {
+	if was == nil || was.entry.ID != e.ID || was.entry.Created != e.Created || !was.entry.Born.Equal(e.Born) {
 		return t
 	}
 	was.mu.Lock()
 	defer was.mu.Unlock()
 	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
 	t.asked, t.asks, t.silent = was.asked, was.asks, was.silent
+	t.born = was.born
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
 	}
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -24,9 +25,9 @@
 	objectiveAt = 4  // milliseconds, 2 bytes, big-endian
 	timeoutAt   = 6  // milliseconds, 2 bytes, big-endian
 	revisionAt  = 8  // 8 bytes, big-endian
-	bornAt      = 16 // Unix milliseconds, 8 bytes, big-endian; 0 if not told
-	nameBytesAt = 24
-	packetHead  = 25
+	ageAt       = 16 // milliseconds, 4 bytes, big-endian; 0 if unknown
+	nameBytesAt = 20
+	packetHead  = 21
 	maxByte     = 1<<8 - 1
 	maxShort    = 1<<16 - 1
 )
@@ -48,25 +49,14 @@
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Objective))
 	dst = binary.BigEndian.AppendUint16(dst, milliseconds(e.Demand.Timeout))
 	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
-	dst = binary.BigEndian.AppendUint64(dst, uint64(UnixMilliseconds(e.Born)))
+	dst = binary.BigEndian.AppendUint32(dst, AgeMS(e.BackendAge))
 	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
 
-// UnixMilliseconds is a time on the wire, 0 for none.
-func UnixMilliseconds(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixMilli()
-}
-
-// Time is the time of Unix milliseconds, none for 0.
-func Time(ms int64) time.Time {
-	if ms == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms)
+// AgeMS is an age on the wire, in milliseconds.
+func AgeMS(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
 
 func milliseconds(d time.Duration) uint16 {
@@ -111,7 +101,7 @@
 		Timeout:   time.Duration(binary.BigEndian.Uint16(frame[timeoutAt:])) * time.Millisecond,
 	}
 	e.Revision = binary.BigEndian.Uint64(frame[revisionAt:])
-	e.Born = Time(int64(binary.BigEndian.Uint64(frame[bornAt:])))
+	e.BackendAge = time.Duration(binary.BigEndian.Uint32(frame[ageAt:])) * time.Millisecond
 	name := frame[packetHead : packetHead+int(frame[nameBytesAt])]
 	if string(name) == string(own) {
 		e.Service = own
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -53,7 +53,7 @@
 type Query struct {
 	Flows    Flows  `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"` // of the newest published state that the balancer knows of
-	BornMS   int64  `cbor:"3,keyasint"` // start of the backend server as it is registered, Unix milliseconds; 0 if not told
+	AgeMS    uint32 `cbor:"3,keyasint"` // since the backend server was seen to have just started; 0 if unknown
 }
 
 // Kind names the message on the wire.
--- a/packet.go
+++ b/packet.go
@@ -100,6 +100,8 @@
 	Packet    Packet
 	// With packets of opaque flows:
 	Demand   Demand
-	Revision uint64    // of the newest published state that the sender knows of
-	Born     time.Time // start of the receiver's backend server as it is registered; zero if not told
+	Revision uint64 // of the newest published state that the sender knows of
+	// BackendAge is how long ago the receiver's backend server was seen to have
+	// just started; 0 if unknown.
+	BackendAge time.Duration
 }
--- a/roster.go
+++ b/roster.go
@@ -15,6 +15,8 @@
 	State         BackendState   `cbor:"6,keyasint"`
 	WarmUp        time.Duration  `cbor:"7,keyasint"` // how much longer it is slow after its start
 	Born          time.Time      `cbor:"8,keyasint"` // start of the incarnation, zero if not told
+	// Created is the store's revision of the registration's creation.
+	Created uint64 `cbor:"11,keyasint"`
 }
 
 // Share is one service's part of a route's new flows.
