Search first where the service's flows are likely; count an agent's silence by what others answer

A further unanswered question counts only if another agent was heard since the one before; the two specs of cuts and of a VM that left failed against each other before.

--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -238,7 +238,7 @@
 		b.overdue(now, o.key, out)
 	}
 	for _, s := range searches {
-		b.overdueSearch(now, s.key, out)
+		b.overdueSearch(now, s.key)
 	}
 	for _, s := range rechecks {
 		b.recheck(now, s.key, out)
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -17,6 +17,9 @@
 	// choices is how many backend servers rank first for a flow: enough to spread
 	// work nearly as well as a choice among all.
 	choices = 5
+	// likely is how many agents a search asks first: more than choices, since
+	// backend servers came and went since a flow was placed.
+	likely = 8
 	// widenAfter is how long the nearest agents may take to answer a search: a few
 	// round trips between failure domains.
 	widenAfter = 15 * time.Millisecond
@@ -46,9 +49,6 @@
 	// silentAsks is how many questions an agent leaves unanswered before its silence
 	// means anything: one may have met a short cut.
 	silentAsks = 2
-	// contactTimeout is how long ago any agent may have been heard for the silence
-	// of one to mean anything; with traffic, reports come every 200 ms from each.
-	contactTimeout = 300 * time.Millisecond
 	// probeAfter is after how much silence of all agents some are asked for a
 	// report; with traffic, reports come every 200 ms from each.
 	probeAfter = 300 * time.Millisecond
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -98,10 +98,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	waited, missed := now.Sub(t.asked), t.asks
-	if waited <= answerTimeout {
+	if waited <= answerTimeout || !heardAny.After(t.asked) {
 		missed-- // the last one may still be answered
 	}
-	if missed < silentAsks || waited > searchTimeout || !heardAny.After(t.silent.Add(answerTimeout)) {
+	if missed < silentAsks || waited > searchTimeout {
 		return 0
 	}
 	return now.Sub(t.silent)
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -144,7 +144,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ready := p.ready[b.share(f)]
-	for _, all := range [][]*target{nearest(ready, flow), ready} {
+	for _, all := range [][]*target{nearest(ready, flow, choices), ready} {
 		var targets []*target
 		var candidates []placement.Candidate
 		for _, t := range all {
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -12,32 +12,44 @@
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 )
 
-// nearest returns the targets that rank first for a flow. New flows are placed
+// nearest returns the n targets that rank first for a flow. New flows are placed
 // among them, so that any balancer finds a flow again by asking few agents.
-func nearest(all []*target, flow currantturn.FlowKey) []*target {
-	if len(all) <= choices {
+func nearest(all []*target, flow currantturn.FlowKey, n int) []*target {
+	if len(all) <= n {
 		return all
 	}
 	hash := rank.Key{}.Flow(flow)
-	var scores [choices]float64
-	var top [choices]*target
-	n := 0
+	var scores [likely]float64
+	var top [likely]*target
+	found := 0
 	for _, t := range all {
 		s := rank.Score(hash, t.seed, 1)
-		if n == choices && s <= scores[n-1] {
+		if found == n && s <= scores[n-1] {
 			continue
 		}
-		if n < choices {
-			n++
+		if found < n {
+			found++
 		}
-		i := n - 1
+		i := found - 1
 		for i > 0 && scores[i-1] < s {
 			scores[i], top[i] = scores[i-1], top[i-1]
 			i--
 		}
 		scores[i], top[i] = s, t
 	}
-	return top[:n]
+	return slices.Clone(top[:found])
+}
+
+// likely returns the targets that probably hold a flow of the route.
+func (p *plan) likely(f *currantturn.FlowRoute, flow currantturn.FlowKey) []*target {
+	if len(f.Shares) == 1 {
+		return nearest(p.services[f.Shares[0].Service], flow, likely)
+	}
+	var all []*target
+	for _, s := range f.Shares {
+		all = append(all, nearest(p.services[s.Service], flow, likely)...)
+	}
+	return all
 }
 
 // search asks for the holder of a flow: the nearest agents get the packet
@@ -53,13 +65,13 @@
 	if len(x.pending) == 0 || packet.DataSize > 0 {
 		x.pending = bytes.Clone(packet.Payload)
 	}
-	for _, t := range nearest(p.holders(f), packet.Flow) {
+	for _, t := range p.likely(f, packet.Flow) {
 		if !x.denied(t, now, b.heardAny()) {
 			b.send(now, t, f, currantturn.IntentSearch, packet, out)
 		}
 	}
 	if !fresh {
-		b.widen(now, p, f, packet.Flow, x, out)
+		b.widen(now, p, f, packet.Flow, x)
 		return
 	}
 	b.later(&b.searches, packet.Flow, now.Add(widenAfter))
@@ -67,10 +79,10 @@
 
 // widen asks all other agents that may hold the flow.
 func (b *Balancer) widen(
-	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry, out *currantturn.Effects,
+	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry,
 ) {
 	x.wide = true
-	b.question(now, p, f, flow, x, nearest(p.holders(f), flow))
+	b.question(now, p, f, flow, x, p.likely(f, flow))
 }
 
 // question asks the agents that may hold the flow and have not denied it, but
@@ -118,10 +130,10 @@
 }
 
 // overdueSearch widens a search that the nearest agents did not end.
-func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
+func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey) {
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
 		if !x.wide {
-			b.widen(now, p, f, key, x, out)
+			b.widen(now, p, f, key, x)
 		}
 		b.later(&b.rechecks, key, now.Add(recheckEvery))
 	})
@@ -222,12 +234,12 @@
 	if b.settled(now, p, f, &packet, x, out) || x.wide {
 		return
 	}
-	for _, t := range nearest(p.holders(f), key) {
+	for _, t := range p.likely(f, key) {
 		if !x.denied(t, now, b.heardAny()) {
 			return
 		}
 	}
-	b.widen(now, p, f, key, x, out)
+	b.widen(now, p, f, key, x)
 }
 
 // resume decides a search again that waited for a newer published state.
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -84,7 +84,7 @@
 		w.publish()
 		b.silent, b.gone = true, w.now
 		left := b.at.Addr()
-		w.lost = func(_, to netip.Addr) bool { return to == left }
+		w.lost = func(from, to netip.Addr) bool { return from == left || to == left }
 		w.publish()
 		w.run(3 * time.Second)
 		reset := 0
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -30,19 +30,16 @@
 	silent   time.Time // of the first of them
 }
 
-// ask notes a question, which the agent answers at once. It counts only while
-// other agents answer, since else the fault is on this side, and only after the
-// answer to the one before is overdue.
+// ask notes a question, which the agent answers at once. A further one counts
+// after the answer to the one before is overdue, if any other agent was heard
+// meanwhile: else the fault is on this side.
 func (t *target) ask(now, heardAny time.Time) {
-	if now.Sub(heardAny) > contactTimeout {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch waited := now.Sub(t.asked); {
 	case t.asks == 0 || waited > searchTimeout:
 		t.asked, t.silent, t.asks = now, now, 1
-	case waited > answerTimeout:
+	case waited > answerTimeout && heardAny.After(t.asked):
 		t.asked = now
 		t.asks++
 	}
