--- a/internal/coordination/holding/pace.go
+++ b/internal/coordination/holding/pace.go
@@ -100,6 +100,7 @@
 		if found {
 			a.work.started()
 		}
+		left := a.backlog.Len()
 		a.mu.Unlock()
 		for i := range gone {
 			a.giveUp(now, &gone[i], out)
@@ -107,12 +108,12 @@
 		if !found {
 			return
 		}
-		a.run(now, &next, out)
+		a.run(now, &next, left, out)
 	}
 }
 
-// run hands a request that waited to the backend server.
-func (a *Agent) run(now time.Time, q *backlog.Request, out *currantturn.Effects) {
+// run hands a request that waited to the backend server; left still wait.
+func (a *Agent) run(now time.Time, q *backlog.Request, left int, out *currantturn.Effects) {
 	a.flows.Update(q.Flow, func(r *record) *record {
 		if r == nil || r.held == nil {
 			a.work.dropped()
@@ -120,6 +121,8 @@
 		}
 		r.running, r.seen = now, now
 		a.waits.Record(now.Sub(q.Arrived))
+		out.Event(event.RequestReleased, event.F("flow", q.Flow), event.F("backend", a.opts.Backend),
+			event.F("waited", now.Sub(q.Arrived)), event.F("waiting", left), event.F("running", a.work.inProgress()))
 		a.unhold(r, r.balancer, out)
 		return r
 	})
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -129,7 +129,8 @@
 	x.opening = bytes.Clone(packet.Payload)
 	x.tried = append(x.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
-		event.F("backend", t.entry.ID))
+		event.F("backend", t.entry.ID), event.F("load", t.evidence(now)), event.F("version", uint64(p.version)),
+		event.F("revision", p.revision), event.F("tries", len(x.tried)))
 	b.send(now, t, f, currantturn.IntentPlace, packet, out)
 	if tries := len(x.tried); tries < maxTries { // then the caller's own copies go on
 		b.later(&b.openings[tries-1], packet.Flow, x.due)
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -97,6 +98,31 @@
 	return c
 }
 
+// evidence is the load that a placement rests on, for the log.
+type evidence struct {
+	load relay.Load
+	sent int
+	age  time.Duration // negative if no load is known
+}
+
+func (t *target) evidence(now time.Time) evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reported.IsZero() {
+		return evidence{sent: t.sent, age: -1}
+	}
+	return evidence{load: t.load, sent: t.sent, age: now.Sub(t.reported)}
+}
+
+// String formats the evidence.
+func (e evidence) String() string {
+	if e.age < 0 {
+		return fmt.Sprintf("unknown sent=%d", e.sent)
+	}
+	return fmt.Sprintf("running=%d waiting=%d flows=%d sent=%d service=%s age=%s",
+		e.load.Running, e.load.Waiting, e.load.Flows, e.sent, e.load.Service(), e.age.Round(time.Millisecond))
+}
+
 func (t *target) take() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/internal/core/flow_test.go
@@ -0,0 +1,211 @@
+package core_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/core"
+	"github.com/currantturn/currantturn/internal/transport/published"
+	"github.com/currantturn/currantturn/platform"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// flowStore is a store that holds one configuration and one registration.
+type flowStore struct {
+	routing      *currantturn.Routing
+	registration *currantturn.Registration
+	down         atomic.Bool
+}
+
+func (s *flowStore) listing(items ...currantturn.Item) (currantturn.Listing, error) {
+	if s.down.Load() {
+		return currantturn.Listing{}, currantturn.ErrUnavailable
+	}
+	return currantturn.Listing{Revision: 5, Items: items}, nil
+}
+
+func (s *flowStore) Configuration(context.Context) (currantturn.Listing, error) {
+	return s.listing(currantturn.Item{Routing: s.routing})
+}
+
+func (s *flowStore) Registrations(context.Context) (currantturn.Listing, error) {
+	return s.listing(currantturn.Item{Registration: s.registration})
+}
+
+func (s *flowStore) Watch(ctx context.Context, _ uint64, wait time.Duration) (currantturn.Listing, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return s.listing()
+}
+
+// freePort returns a free UDP port that is the same on several addresses.
+func freePort() uint16 {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	return uint16(c.LocalAddr().(*net.UDPAddr).Port)
+}
+
+func at(ip string, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr(ip), port)
+}
+
+// flowPacket encodes a packet as either end of a flow writes it.
+func flowPacket(from, to netip.AddrPort, flags byte, seq, ack uint32, data string) []byte {
+	b := append(make([]byte, 32), data...)
+	binary.BigEndian.PutUint32(b, seq)
+	binary.BigEndian.PutUint32(b[4:], ack)
+	b[12] = flags
+	for i, end := range []netip.AddrPort{to, from} {
+		binary.BigEndian.PutUint16(b[18+6*i:], end.Port())
+		ip := end.Addr().As4()
+		copy(b[20+6*i:], ip[:])
+	}
+	binary.BigEndian.PutUint16(b[30:], uint16(len(data)))
+	return b
+}
+
+var _ = Describe("a balancer and an agent of opaque flows", func() {
+	const syn, ack = 8, 64
+	var (
+		link, callers, outbound = uint16(0), uint16(0), uint16(0)
+		service                 = netip.MustParseAddrPort("198.18.0.1:443")
+		caller                  netip.AddrPort
+		store                   *flowStore
+		backend, client         *net.UDPConn
+		report                  = func(currantturn.Event) {}
+	)
+	listen := func(a netip.AddrPort) *net.UDPConn {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+	receive := func(c *net.UDPConn) (p currantturn.Packet) {
+		GinkgoHelper()
+		b := make([]byte, 2048)
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		n, _, err := c.ReadFromUDPAddrPort(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(platform.Packets{}.Decode(b[:n], currantturn.ToBackend, &p)).To(Succeed())
+		return p
+	}
+	startBalancer := func(ip string, seeds ...netip.AddrPort) *core.FlowBalancer {
+		state := httptest.NewUnstartedServer(nil)
+		ln, err := net.Listen("tcp4", at(ip, callers).String())
+		Expect(err).NotTo(HaveOccurred())
+		b, err := core.StartFlowBalancer(core.FlowBalancerOptions{
+			Codec: platform.Packets{}, Store: store, Link: at(ip, link), Callers: at(ip, callers), State: at(ip, callers),
+			Seeds: seeds, ApplyWithin: 3 * time.Second, Seed: 1, Pull: published.Read, Clock: time.Now, Report: report,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(b.Close)
+		state.Listener = ln
+		state.Config.Handler = published.Handler(func() publication.State { return b.Published() })
+		state.Start()
+		DeferCleanup(state.Close)
+		return b
+	}
+
+	BeforeEach(func() {
+		link, callers, outbound = freePort(), freePort(), freePort()
+		caller = at("127.0.4.1", 40001)
+		backend, client = listen(at("127.0.3.1", 0)), listen(at("127.0.4.1", callers))
+		store = &flowStore{
+			routing: &currantturn.Routing{Version: 2, Routes: []currantturn.FlowRoute{{
+				Address: service, Shares: []currantturn.Share{{Service: "verify", Weight: 1}},
+			}}},
+			registration: &currantturn.Registration{
+				ID: "i-1", Service: "verify", Address: at("127.0.3.1", 8080), Slots: 2, State: currantturn.BackendActive,
+			},
+		}
+		a, err := core.StartFlowAgent(core.FlowAgentOptions{
+			Name: "i-1", Codec: platform.Packets{}, Service: "verify", Link: at("127.0.3.1", link),
+			Outbound: at("127.0.3.1", outbound), Backend: backend.LocalAddr().(*net.UDPAddr).AddrPort(),
+			CallerPort: callers, Fresh: true, Clock: time.Now, Report: report,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(a.Close)
+	})
+
+	serve := func(b *core.FlowBalancer) {
+		GinkgoHelper()
+		Eventually(b.Serving).WithTimeout(5 * time.Second).Should(BeTrue())
+	}
+	send := func(to string, p []byte) {
+		GinkgoHelper()
+		_, err := client.WriteToUDPAddrPort(p, at(to, callers))
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	It("carry a flow both ways, also through a balancer that never saw it", func() {
+		first := startBalancer("127.0.2.1")
+		second := startBalancer("127.0.2.2", at("127.0.2.1", callers))
+		serve(first)
+		serve(second)
+
+		send("127.0.2.1", flowPacket(caller, service, syn, 100, 0, ""))
+		p := receive(backend)
+		Expect(p.Mark).To(Equal(currantturn.MarkOpening))
+		_, err := backend.WriteToUDPAddrPort(flowPacket(service, caller, syn|ack, 500, 101, ""), at("127.0.3.1", outbound))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(receive(client).Sequence).To(Equal(uint32(500)))
+
+		send("127.0.2.2", flowPacket(caller, service, ack, 101, 501, "request"))
+		p = receive(backend)
+		Expect(string(p.Payload[32:])).To(Equal("request"))
+		_, err = backend.WriteToUDPAddrPort(flowPacket(service, caller, ack, 501, 108, "answer"), at("127.0.3.1", outbound))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(receive(client).Payload[32:])).To(Equal("answer"))
+	})
+
+	It("reset a flow that nobody holds, and an address without a route", func() {
+		serve(startBalancer("127.0.2.1"))
+		for _, to := range []netip.AddrPort{service, netip.MustParseAddrPort("198.18.0.9:443")} {
+			send("127.0.2.1", flowPacket(caller, to, ack, 101, 501, "request"))
+			Expect(receive(client).Mark).To(Equal(currantturn.MarkReset))
+		}
+	})
+
+	It("get the published state from each other while the store turns one away", func() {
+		first := startBalancer("127.0.2.1")
+		serve(first)
+		store.down.Store(true)
+		serve(startBalancer("127.0.2.2", at("127.0.2.1", callers)))
+	})
+
+	It("leave rotation before they stop, and go on with packets", func() {
+		b := startBalancer("127.0.2.1")
+		serve(b)
+		b.Stopping()
+		Expect(b.Serving()).To(BeFalse())
+		send("127.0.2.1", flowPacket(caller, service, syn, 100, 0, ""))
+		Expect(receive(backend).Mark).To(Equal(currantturn.MarkOpening))
+	})
+
+	It("go on after datagrams that are no packets", func() {
+		serve(startBalancer("127.0.2.1"))
+		for _, junk := range []string{"", "x", strings.Repeat("y", 1500)} {
+			send("127.0.2.1", []byte(junk))
+			c, err := net.Dial("udp4", "127.0.3.1:"+strconv.Itoa(int(link)))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write([]byte(junk))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Close()).To(Succeed())
+		}
+		send("127.0.2.1", flowPacket(caller, service, syn, 100, 0, ""))
+		Expect(receive(backend).Mark).To(Equal(currantturn.MarkOpening))
+	})
+})
--- a/internal/event/flow.go
+++ b/internal/event/flow.go
@@ -16,7 +16,7 @@
 )
 
 var flowDefinitions = []Definition{
-	{FlowPlaced, "flow_placed", Debug, "flow was placed on a backend server", fields("flow service backend reason")},
+	{FlowPlaced, "flow_placed", Debug, "flow was placed on a backend server", fields("flow service backend reason load version revision tries")},
 	{FlowRedirected, "flow_redirected", Debug, "flow is held by another backend server", fields("flow service backend")},
 	{FlowSearchStarted, "flow_search_started", Debug, "unknown flow is searched for among the agents of its service", fields("flow service version")},
 	{FlowAdopted, "flow_adopted", Info, "flow was adopted after an empty search", fields("flow service backend")},
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -97,14 +98,13 @@
 	return suppressed, true
 }
 
-// fieldValue keeps errors, flows and durations readable in JSON lines.
+// fieldValue keeps errors, flows and durations readable in JSON lines; what it
+// formats costs nothing for lines that are left out.
 func fieldValue(v any) any {
 	switch v := v.(type) {
 	case error:
 		return v.Error()
-	case currantturn.FlowKey:
-		return v.String()
-	case time.Duration:
+	case fmt.Stringer:
 		return v.String()
 	}
 	return v
--- a/internal/event/steering.go
+++ b/internal/event/steering.go
@@ -15,6 +15,7 @@
 	SettingsReloaded = 831
 	SettingsRejected = 832
 	RelayFailed      = 833
+	RequestReleased  = 835
 	LogLinesLeftOut  = 834
 )
 
@@ -32,5 +33,6 @@
 	{SettingsReloaded, "settings_reloaded", Info, "changed settings are in force", fields("path service")},
 	{SettingsRejected, "settings_rejected", Warning, "changed settings have mistakes; the earlier ones stay in force", fields("path error")},
 	{RelayFailed, "relay_failed", Warning, "packet could not be sent", fields("peer error")},
+	{RequestReleased, "request_released", Debug, "request that waited for a slot runs now", fields("flow backend waited waiting running")},
 	{LogLinesLeftOut, "log_lines_left_out", Warning, "log lines were left out since their reader is slow", fields("lines")},
 }
