Hand overdue requests on instead of keeping them until their callers give up

An open flow can't be refused by the agent; after three quarters of its time a request now goes to its backend server, which runs it or refuses it truthfully.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -24,6 +24,11 @@
 	return r.Demand.Timeout > 0 && now.Sub(r.Arrived) >= r.Demand.Timeout
 }
 
+// overdue says whether the request has waited for most of its time.
+func (r *Request) overdue(now time.Time) bool {
+	return r.Demand.Timeout > 0 && now.Sub(r.Arrived) >= r.Demand.Timeout-r.Demand.Timeout/overduePart
+}
+
 // Backlog is a bounded set of waiting requests; it is not safe for concurrent
 // use.
 type Backlog struct {
@@ -59,18 +64,24 @@
 	b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
 }
 
-// Expire takes out the requests whose callers have given up.
-func (b *Backlog) Expire(now time.Time) (gone []Request) {
+// Due takes out the requests that wait no longer: those whose callers have
+// given up, which must not run, and those that are overdue. An open flow can't
+// be refused here, but its backend server runs an overdue request or refuses it
+// truthfully while its caller still waits.
+func (b *Backlog) Due(now time.Time) (gone, overdue []Request) {
 	kept := b.waiting[:0]
 	for _, r := range b.waiting {
-		if r.expired(now) {
+		switch {
+		case r.expired(now):
 			gone = append(gone, r)
-			continue
+		case r.overdue(now):
+			overdue = append(overdue, r)
+		default:
+			kept = append(kept, r)
 		}
-		kept = append(kept, r)
 	}
 	b.waiting = kept
-	return gone
+	return gone, overdue
 }
 
 // Next takes out the request to run next when a slot is free. It answers the
--- a/internal/coordination/holding/pace.go
+++ b/internal/coordination/holding/pace.go
@@ -87,38 +87,45 @@
 	}
 }
 
-// release runs waiting requests while slots are free, and drops those whose
-// callers have given up.
+// release runs waiting requests while slots are free, and those that are
+// overdue, and drops those whose callers have given up.
 func (a *Agent) release(now time.Time, out *currantturn.Effects) {
-	for {
-		a.mu.Lock()
-		gone := a.backlog.Expire(now)
-		next, found := backlog.Request{}, false
-		if a.slots == 0 || a.work.inProgress() < a.slots {
-			next, found = a.backlog.Next(now, a.work.expected())
-		}
-		if found {
-			a.work.started()
-		}
-		left := a.backlog.Len()
-		a.mu.Unlock()
-		for i := range gone {
-			a.giveUp(now, &gone[i], out)
-		}
+	a.mu.Lock()
+	gone, runs := a.backlog.Due(now)
+	for range runs {
+		a.work.started()
+	}
+	for a.slots == 0 || a.work.inProgress() < a.slots {
+		next, found := a.backlog.Next(now, a.work.expected())
 		if !found {
-			return
+			break
 		}
-		a.run(now, &next, left, out)
+		a.work.started()
+		runs = append(runs, next)
+	}
+	left := a.backlog.Len()
+	a.mu.Unlock()
+	for i := range gone {
+		a.giveUp(now, &gone[i], out)
+	}
+	ended := false
+	for i := range runs {
+		ended = !a.run(now, &runs[i], left, out) || ended
+	}
+	if ended {
+		a.release(now, out) // their slots are free again
 	}
 }
 
-// run hands a request that waited to the backend server; left still wait.
-func (a *Agent) run(now time.Time, q *backlog.Request, left int, out *currantturn.Effects) {
+// run hands a request that waited to the backend server, unless its flow has
+// ended meanwhile; left still wait.
+func (a *Agent) run(now time.Time, q *backlog.Request, left int, out *currantturn.Effects) (runs bool) {
 	a.flows.Update(q.Flow, func(r *record) *record {
 		if r == nil || r.held == nil {
 			a.work.dropped()
 			return r
 		}
+		runs = true
 		r.running, r.seen = now, now
 		a.waits.Record(now.Sub(q.Arrived))
 		out.Event(event.RequestReleased, event.F("flow", q.Flow), event.F("backend", a.opts.Backend),
@@ -126,6 +133,7 @@
 		a.unhold(r, r.balancer, out)
 		return r
 	})
+	return runs
 }
 
 // unhold delivers the packets that were held.
