--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -80,6 +80,7 @@
 			p.patchCommand(),
 			p.statusCommand(),
 			p.settingsCommand(),
+			p.explainCommand(),
 			p.tryCommand(),
 			p.versionCommand(),
 		},
--- a/internal/command/constants.go
+++ b/internal/command/constants.go
@@ -20,6 +20,8 @@
 	statusTimeout = 10 * time.Second
 	// forcedStopDelay is how long a process has to end once its context did.
 	forcedStopDelay = time.Second
+	// maxLogLineBytes is the longest log line that is read.
+	maxLogLineBytes = 1 << 20
 	// leftOutEvery is how often log lines that were left out are told.
 	leftOutEvery = time.Second
 	// defaultTryDuration is the length of a try.
--- a/internal/event/logger.go
+++ b/internal/event/logger.go
@@ -40,7 +40,7 @@
 	l.SetOutput(w)
 	l.SetLevel(logrusLevel(level))
 	if format == JSON {
-		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano, DisableHTMLEscape: true})
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	}
