--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -77,7 +77,7 @@
 	return x
 }
 
-// follow sends a packet to the known holder, or to all possible ones.
+// follow sends a packet to the known holder, or searches for it.
 func (b *Balancer) follow(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
