Take the request of an ended flow out of the backlog; one list of endpoints; a type for silence

Cause: a flow that ended left its turn in the backlog, to be passed over. If the caller used the port again, the new flow's request took the old turn, ahead of requests that had waited longer, and the reported load counted the turn. The new spec fails without the change. The two roles of opaque flows shared a map from address to handler, in which two equal addresses lost one handler silently; now it is a list, and the settings are checked. Behaviour of the rest is unchanged.

--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -183,12 +183,12 @@
 	for _, w := range due {
 		a.overdue(now, w.key, out)
 	}
-	a.flows.Sweep(number, func(_ currantturn.FlowKey, r *record) bool {
+	a.flows.Sweep(number, func(flow currantturn.FlowKey, r *record) bool {
 		a.expireRequest(now, r)
 		if !r.expired(now) {
 			return true
 		}
-		a.end(r)
+		a.end(flow, r)
 		return false
 	})
 	a.release(now, out)
--- a/internal/coordination/holding/answer.go
+++ b/internal/coordination/holding/answer.go
@@ -55,9 +55,9 @@
 	}
 	switch p.Mark {
 	case currantturn.MarkReset:
-		a.close(now, r)
+		a.close(now, p.Flow, r)
 	case currantturn.MarkClosing:
-		a.ended(now, r, endBackend)
+		a.ended(now, p.Flow, r, endBackend)
 	}
 }
 
@@ -86,28 +86,33 @@
 		out.Answers = append(out.Answers, currantturn.Packet{
 			Flow: p.Flow, Mark: currantturn.MarkReset, Payload: a.opts.Codec.Reset(p),
 		})
-		a.close(now, r)
+		a.close(now, p.Flow, r)
 		return r
 	})
 }
 
 // ended takes the closing packet of one end; the flow is closed when both ends
 // sent theirs.
-func (a *Agent) ended(now time.Time, r *record, end uint8) {
+func (a *Agent) ended(now time.Time, flow currantturn.FlowKey, r *record, end uint8) {
 	if r.ends |= end; r.ends == endCaller|endBackend {
-		a.close(now, r)
+		a.close(now, flow, r)
 	}
 }
 
 // close ends a flow but keeps its record for late packets.
-func (a *Agent) close(now time.Time, r *record) {
-	a.end(r)
+func (a *Agent) close(now time.Time, flow currantturn.FlowKey, r *record) {
+	a.end(flow, r)
 	r.progress, r.seen = closed, now
 }
 
-// end takes the flow out of the load.
-func (a *Agent) end(r *record) {
-	r.held = nil // its turn in the backlog is passed over
+// end takes the flow out of the load and its request out of the backlog.
+func (a *Agent) end(flow currantturn.FlowKey, r *record) {
+	if r.held != nil {
+		r.held = nil
+		a.mu.Lock()
+		a.backlog.Remove(flow)
+		a.mu.Unlock()
+	}
 	if !r.running.IsZero() {
 		r.running = time.Time{}
 		a.work.dropped()
--- a/internal/coordination/holding/holding_test.go
+++ b/internal/coordination/holding/holding_test.go
@@ -296,6 +296,17 @@
 			Expect(r.agent.Counters().Running).To(Equal(1))
 		})
 
+		It("lets the next request of a reset flow wait for its own turn", func() {
+			r.route(other(1), currantturn.IntentHeld, ack, 101, 501, 50)
+			r.route(other(2), currantturn.IntentHeld, ack, 101, 501, 50)
+			r.route(other(1), currantturn.IntentHeld, rst, 151, 501, 0)
+			r.open(other(1)) // its caller uses the port again
+			r.route(other(1), currantturn.IntentHeld, ack, 101, 501, 50)
+			r.answer(other(0), ack, 501, 151, 100)
+			Expect(r.out.Delivers).To(HaveLen(1))
+			Expect(r.out.Delivers[0].Flow.Caller).To(Equal(other(2)))
+		})
+
 		It("frees the slot of a request that is never answered", func() {
 			r.route(other(1), currantturn.IntentHeld, ack, 101, 501, 50)
 			for range 64 * 6 { // both requests: the second runs when it is overdue
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -115,7 +115,7 @@
 	switch {
 	case d.packet.Mark == currantturn.MarkReset:
 		a.deliver(d)
-		a.close(d.now, r)
+		a.close(d.now, d.packet.Flow, r)
 		return r
 	case r.held != nil && d.packet.Mark == currantturn.MarkClosing:
 		a.keep(r, d.packet) // after the data that it closes
@@ -125,7 +125,7 @@
 		a.deliver(d)
 	}
 	if d.packet.Mark == currantturn.MarkClosing {
-		a.ended(d.now, r, endCaller)
+		a.ended(d.now, d.packet.Flow, r, endCaller)
 	}
 	return r
 }
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -77,37 +77,3 @@
 	}
 	return true
 }
-
-// ended says whether the backend server is known to have ended, so that it
-// holds nothing: its registration is gone, and its agent does not answer while
-// others do. A registration alone may vanish early.
-func (t *target) ended(now, heardAny time.Time) bool {
-	return t.gone() && t.unanswered(now, heardAny) > 0
-}
-
-// absent says whether the backend server holds nothing that a caller could
-// reach: it has ended, or nothing was heard of its VM for a while.
-func (t *target) absent(now, heardAny time.Time) bool {
-	silent := t.unanswered(now, heardAny)
-	return silent > 0 && t.gone() || silent > silentTimeout
-}
-
-// unanswered is for how long the agent has not answered questions while other
-// agents did, zero if it may still answer.
-func (t *target) unanswered(now, heardAny time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	waited, missed := now.Sub(t.asked), t.asks
-	if waited <= answerTimeout || !heardAny.After(t.asked) {
-		missed-- // the last one may still be answered
-	}
-	if missed < silentAsks || waited > searchTimeout {
-		return 0
-	}
-	return now.Sub(t.silent)
-}
-
-// gone says whether the backend server's registration is gone.
-func (t *target) gone() bool {
-	return !t.entry.Gone.IsZero()
-}
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -26,31 +26,48 @@
 	sent     int // flows sent since the last report
 	avoid    time.Time
 	warm     time.Time // end of the warm-up
-	asked    time.Time // of the last question that counts since the agent was heard
-	asks     int       // such questions
-	silent   time.Time // of the first of them
+	silence  silence   // of the agent
 }
 
-// ask notes a question, which the agent answers at once. A further one counts
-// after the answer to the one before is overdue, if any other agent was heard
-// meanwhile: else the fault is on this side.
+// ask notes a question to the agent.
 func (t *target) ask(now, heardAny time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch waited := now.Sub(t.asked); {
-	case t.asks == 0 || waited > searchTimeout:
-		t.asked, t.silent, t.asks = now, now, 1
-	case waited > answerTimeout && heardAny.After(t.asked):
-		t.asked = now
-		t.asks++
-	}
+	t.silence.ask(now, heardAny)
 }
 
 // hear notes a sign of life of the agent.
 func (t *target) hear() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.asks = 0
+	t.silence.asks = 0
+}
+
+// ended says whether the backend server is known to have ended, so that it
+// holds nothing: its registration is gone, and its agent does not answer while
+// others do. A registration alone may vanish early.
+func (t *target) ended(now, heardAny time.Time) bool {
+	return t.gone() && t.unanswered(now, heardAny) > 0
+}
+
+// absent says whether the backend server holds nothing that a caller could
+// reach: it has ended, or nothing was heard of its VM for a while.
+func (t *target) absent(now, heardAny time.Time) bool {
+	silent := t.unanswered(now, heardAny)
+	return silent > 0 && t.gone() || silent > silentTimeout
+}
+
+// unanswered is for how long the agent has not answered questions while other
+// agents did, zero if it may still answer.
+func (t *target) unanswered(now, heardAny time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silence.length(now, heardAny)
+}
+
+// gone says whether the backend server's registration is gone.
+func (t *target) gone() bool {
+	return !t.entry.Gone.IsZero()
 }
 
 // age is how long ago the backend server was seen to have just started, 0 if
@@ -211,7 +228,7 @@
 	was.mu.Lock()
 	defer was.mu.Unlock()
 	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
-	t.asked, t.asks, t.silent = was.asked, was.asks, was.silent
+	t.silence = was.silence
 	t.born = was.born
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -31,18 +31,26 @@
 	x.process.Log.Log(time.Now(), e)
 }
 
-// serveHTTP serves a handler at an address; without an address it does nothing.
-func (x *relayParts) serveHTTP(at netip.AddrPort, h http.Handler) error {
-	if !at.IsValid() {
-		return nil
-	}
-	ln, err := net.Listen("tcp4", at.String())
-	if err != nil {
-		return eris.Wrapf(err, "listen at %s", at)
+// endpoint is a handler and the address that it is served at, if any.
+type endpoint struct {
+	at      netip.AddrPort
+	handler http.Handler
+}
+
+// serveHTTP serves each endpoint that has an address.
+func (x *relayParts) serveHTTP(endpoints ...endpoint) error {
+	for _, e := range endpoints {
+		if !e.at.IsValid() {
+			continue
+		}
+		ln, err := net.Listen("tcp4", e.at.String())
+		if err != nil {
+			return eris.Wrapf(err, "listen at %s", e.at)
+		}
+		s := &http.Server{Handler: e.handler, ReadHeaderTimeout: relayHeaderTimeout}
+		x.servers = append(x.servers, s)
+		go func() { _ = s.Serve(ln) }() // ends with Close
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: relayHeaderTimeout}
-	x.servers = append(x.servers, s)
-	go func() { _ = s.Serve(ln) }() // ends with Close
 	return nil
 }
 
@@ -90,15 +98,13 @@
 	}
 	x.metrics.Publish("steering", func() any { return b.Counters() })
 	x.metrics.Publish("publication", func() any { return b.PublishedCounters() })
-	for at, h := range map[netip.AddrPort]http.Handler{
-		o.Relay.ReadinessAddress: readiness(b.Serving),
-		o.Relay.StateAddress:     published.Handler(func() publication.State { return b.Published() }),
-		o.Relay.MetricsAddress:   x.metrics.Text(),
-	} {
-		if err := x.serveHTTP(at, h); err != nil {
-			_ = b.Close()
-			return err
-		}
+	if err := x.serveHTTP(
+		endpoint{o.Relay.ReadinessAddress, readiness(b.Serving)},
+		endpoint{o.Relay.StateAddress, published.Handler(func() publication.State { return b.Published() })},
+		endpoint{o.Relay.MetricsAddress, x.metrics.Text()},
+	); err != nil {
+		_ = b.Close()
+		return err
 	}
 	for {
 		select {
@@ -133,14 +139,12 @@
 		return err
 	}
 	x.metrics.Publish("holding", func() any { return a.Counters() })
-	for at, h := range map[netip.AddrPort]http.Handler{
-		o.Relay.ReadinessAddress: readiness(func() bool { return true }),
-		o.Relay.MetricsAddress:   x.metrics.Text(),
-	} {
-		if err := x.serveHTTP(at, h); err != nil {
-			_ = a.Close()
-			return err
-		}
+	if err := x.serveHTTP(
+		endpoint{o.Relay.ReadinessAddress, readiness(func() bool { return true })},
+		endpoint{o.Relay.MetricsAddress, x.metrics.Text()},
+	); err != nil {
+		_ = a.Close()
+		return err
 	}
 	changed := time.NewTicker(settingsPoll)
 	defer changed.Stop()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,9 @@
 package settings
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // crossCheck reports what no single key can show, and fills what follows from
 // other keys.
@@ -14,6 +17,18 @@
 		r.report("entry", "addresses", "missing; kind proxy needs at least one")
 	}
 	r.checkAdmin(o)
+	r.checkRelay(o)
+}
+
+// checkRelay reports HTTP handlers that are given one address.
+func (r *reader) checkRelay(o *Options) {
+	keys := []string{"readiness_address", "state_address", "metrics_address"}
+	used := []netip.AddrPort{o.Relay.ReadinessAddress, o.Relay.StateAddress, o.Relay.MetricsAddress}
+	for i, at := range used {
+		if first := slices.Index(used, at); at.IsValid() && first < i {
+			r.report("relay", keys[i], "same as "+keys[first])
+		}
+	}
 }
 
 func (r *reader) checkAdvertised(o *Options) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -112,6 +112,23 @@
 		Expect(err).To(MatchError(ContainSubstring("input too large")))
 	})
 
+	It("reports two handlers at one address", func() {
+		_, err := load(`[process]
+role = flow_agent
+name = verify-0
+failure_domain = a
+[relay]
+link_address = 127.0.0.1:7120
+outbound_address = 127.0.0.1:9000
+backend_address = 127.0.0.1:8080
+caller_address = 127.0.0.1:8081
+service = verify
+readiness_address = 127.0.0.1:8200
+metrics_address = 127.0.0.1:8200
+`)
+		Expect(err).To(MatchError("testdata/x.ini: [relay] metrics_address: same as readiness_address"))
+	})
+
 	DescribeTable("reports one more line as one problem",
 		func(file *[]byte, line, problem string) {
 			_, err := load(string(*file) + line)
