Bound the part of a thin link that searches take

Their answers came late, so each search went on to all 60 agents and asked again every 200 ms, new flows found no answer within 70 ms, were sent to two more backend servers, and had to be searched for as well. The load kept itself up. Now searches take half of the link that the settings name: the likely agents first, the others when there is room, packets to agents that do not know likewise. A flow whose opening packet went to several is searched for among those first.

--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -22,12 +22,15 @@
 	AgentPort uint16
 	Seed      uint64 // of its random choices
 	Flows     int    // bound of the flows that are remembered
+	// LinkRate is what the VM's network link carries, bytes a second; 0 without a bound.
+	LinkRate float64
 }
 
 // Balancer is the router of an entry VM for opaque flows.
 type Balancer struct {
 	opts  Options
 	plan  atomic.Pointer[plan]
+	pace  pace
 	flows *shard.Map[currantturn.FlowKey, entry]
 	heard atomic.Int64 // Unix nanoseconds of the last sign of life of any agent
 	asked atomic.Int64 // Unix nanoseconds of the first probe since then, 0 without one
@@ -100,6 +103,7 @@
 	}
 	return &Balancer{
 		opts:  opts,
+		pace:  newPace(opts.LinkRate),
 		flows: shard.New[currantturn.FlowKey, entry](opts.Flows),
 		rng:   rand.New(rand.NewPCG(opts.Seed, 11)),
 
@@ -238,7 +242,7 @@
 		b.overdue(now, o.key, out)
 	}
 	for _, s := range searches {
-		b.overdueSearch(now, s.key)
+		b.overdueSearch(now, s.key, out)
 	}
 	for _, s := range rechecks {
 		b.recheck(now, s.key, out)
--- a/internal/coordination/steering/constants.go
+++ b/internal/coordination/steering/constants.go
@@ -41,6 +41,17 @@
 	// questionsEvery is how often questions are sent: together, since each message
 	// costs an agent's and a balancer's processor time and thin links.
 	questionsEvery = 50 * time.Millisecond
+	// searchShare is the part of the link that searches may take: the rest is for
+	// the packets of flows whose holder is known.
+	searchShare = 0.5
+	// searchBurst is how long searches may be ahead of their part of the link: less
+	// than a new flow waits for its backend server's answer.
+	searchBurst = 50 * time.Millisecond
+	// packetOverhead is what a packet sent to an agent has besides itself: IP and
+	// UDP headers, and the envelope with a service's name.
+	packetOverhead = 64
+	// questionBytes is a question's part of a message, with its part of the headers.
+	questionBytes = 24
 	// recheckEvery is how often a search is repeated that some agents do not answer.
 	recheckEvery = answerTimeout + questionsEvery
 	// silentTimeout is after how long the silence of an agent ends searches; a
--- a/internal/coordination/steering/entry.go
+++ b/internal/coordination/steering/entry.go
@@ -16,6 +16,15 @@
 	searching progress = "searching" // its holder is asked for
 )
 
+// reach is how far a search has gone.
+type reach string
+
+const (
+	askedNone   reach = ""
+	askedLikely reach = "likely" // the agents that probably hold the flow
+	askedAll    reach = "all"    // every agent that may hold it
+)
+
 // entry is what a balancer remembers of a flow.
 type entry struct {
 	progress progress
@@ -26,7 +35,7 @@
 	asked    time.Time // start of the search
 	absent   []currantturn.BackendID
 	pending  []byte // packet that waits for the search
-	wide     bool   // all agents are asked
+	reach    reach  // of the search
 	needs    uint64 // revision without which a search proves nothing
 	seen     time.Time
 	closed   time.Time
@@ -52,7 +61,7 @@
 // settle makes a backend server the flow's holder.
 func (e *entry) settle(now time.Time, t *target) {
 	e.progress, e.holder, e.opening, e.absent, e.seen = known, t, nil, nil, now
-	e.pending, e.wide = nil, false
+	e.pending, e.reach, e.tried = nil, askedNone, nil
 }
 
 // deny takes one backend server's no, which rests on a published revision.
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -276,7 +276,7 @@
 		case x == nil || x.progress != placing:
 		case len(x.tried) > 1:
 			// Several may answer; the caller's next packet tells which one it chose.
-			*x = entry{progress: searching, asked: now, seen: now, acked: x.acked}
+			*x = entry{progress: searching, asked: now, seen: now, acked: x.acked, tried: x.tried}
 		default:
 			x.settle(now, t)
 		}
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -52,7 +52,7 @@
 	return all
 }
 
-// search asks for the holder of a flow: the nearest agents get the packet
+// search asks for the holder of a flow: the likely agents get the packet
 // itself, and the others a question if that does not help.
 func (b *Balancer) search(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
@@ -65,38 +65,81 @@
 	if len(x.pending) == 0 || packet.DataSize > 0 {
 		x.pending = bytes.Clone(packet.Payload)
 	}
-	for _, t := range p.likely(f, packet.Flow) {
+	b.askLikely(now, p, f, packet, x, out)
+	if fresh {
+		b.later(&b.searches, packet.Flow, now.Add(widenAfter))
+		return
+	}
+	b.widen(now, p, f, packet.Flow, x)
+}
+
+// candidates are the targets to ask first: those that the opening packet went
+// to, if that is known.
+func (x *entry) candidates(p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey) []*target {
+	if len(x.tried) == 0 {
+		return p.likely(f, flow)
+	}
+	var all []*target
+	for _, t := range p.holders(f) {
+		if slices.Contains(x.tried, t.entry.ID) {
+			all = append(all, t)
+		}
+	}
+	if len(all) == 0 {
+		return p.likely(f, flow)
+	}
+	return all
+}
+
+// askLikely sends the packet to the likely agents if the link has room.
+func (b *Balancer) askLikely(
+	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
+) {
+	var ask []*target
+	for _, t := range x.candidates(p, f, packet.Flow) {
 		if !x.denied(t, now, b.heardAny()) {
-			b.send(now, t, f, currantturn.IntentSearch, packet, out)
+			ask = append(ask, t)
 		}
 	}
-	if !fresh {
-		b.widen(now, p, f, packet.Flow, x)
+	if !b.pace.take(now, len(ask)*packetBytes(packet.Payload)) {
 		return
 	}
-	b.later(&b.searches, packet.Flow, now.Add(widenAfter))
+	if x.reach == askedNone {
+		x.reach = askedLikely
+	}
+	for _, t := range ask {
+		b.send(now, t, f, currantturn.IntentSearch, packet, out)
+	}
 }
 
-// widen asks all other agents that may hold the flow.
+// widen asks all other agents that may hold the flow if the link has room.
 func (b *Balancer) widen(
 	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry,
 ) {
-	x.wide = true
-	b.question(now, p, f, flow, x, p.likely(f, flow))
+	if x.reach == askedLikely && b.question(now, p, f, flow, x, x.candidates(p, f, flow)) {
+		x.reach = askedAll
+	}
 }
 
 // question asks the agents that may hold the flow and have not denied it, but
-// for some.
+// for some; it does nothing while the link has no room.
 func (b *Balancer) question(
 	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, x *entry, but []*target,
-) {
+) bool {
+	var ask []*target
 	for _, t := range p.holders(f) {
-		if slices.Contains(but, t) || x.denied(t, now, b.heardAny()) {
-			continue
+		if !slices.Contains(but, t) && !x.denied(t, now, b.heardAny()) {
+			ask = append(ask, t)
 		}
+	}
+	if !b.pace.take(now, len(ask)*questionBytes) {
+		return false
+	}
+	for _, t := range ask {
 		t.ask(now, b.heardAny())
 		b.enqueue(t.agent, flow, x.acked)
 	}
+	return true
 }
 
 // enqueue adds a question to those that go to an agent together.
@@ -129,13 +172,25 @@
 	clear(b.questions)
 }
 
-// overdueSearch widens a search that the nearest agents did not end.
-func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey) {
+// overdueSearch goes on with a search that the likely agents did not end, or
+// for which the link had no room.
+func (b *Balancer) overdueSearch(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
-		if !x.wide {
+		switch x.reach {
+		case askedNone:
+			var packet currantturn.Packet
+			if err := b.opts.Codec.Decode(x.pending, currantturn.ToBackend, &packet); err != nil {
+				return // nothing waits for this search
+			}
+			b.askLikely(now, p, f, &packet, x, out)
+		case askedLikely:
 			b.widen(now, p, f, key, x)
 		}
-		b.later(&b.rechecks, key, now.Add(recheckEvery))
+		if x.reach == askedAll {
+			b.later(&b.rechecks, key, now.Add(recheckEvery))
+		} else {
+			b.later(&b.searches, key, now.Add(widenAfter))
+		}
 	})
 }
 
@@ -185,7 +240,7 @@
 	}
 	for key := range m.Unsure.All() {
 		b.searchOf(key, func(_ *plan, f *currantturn.FlowRoute, x *entry) {
-			if len(x.pending) > 0 {
+			if len(x.pending) > 0 && b.pace.take(now, packetBytes(x.pending)) {
 				b.sendRaw(now, t, f, currantturn.IntentSearch, x.pending, out)
 			}
 		})
@@ -231,10 +286,10 @@
 	now time.Time, p *plan, f *currantturn.FlowRoute, key currantturn.FlowKey, x *entry, out *currantturn.Effects,
 ) {
 	packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: x.acked}
-	if b.settled(now, p, f, &packet, x, out) || x.wide {
+	if b.settled(now, p, f, &packet, x, out) || x.reach != askedLikely {
 		return
 	}
-	for _, t := range p.likely(f, key) {
+	for _, t := range x.candidates(p, f, key) {
 		if !x.denied(t, now, b.heardAny()) {
 			return
 		}
@@ -245,7 +300,9 @@
 // resume decides a search again that waited for a newer published state.
 func (b *Balancer) resume(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
-		x.wide = false // there may be newcomers to ask
+		if x.reach == askedAll {
+			x.reach = askedLikely // there may be newcomers to ask
+		}
 		b.denied(now, p, f, key, x, out)
 	})
 }
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -229,6 +229,23 @@
 		Expect(w.broken).To(BeEmpty())
 	})
 
+	// Everything restarts: each flow is searched for, and no agent knows its flows.
+	It("are found again soon after everything restarted behind a thin link", func() {
+		for seed := range uint64(5) {
+			w := calm(30+seed, 1, 40, 80)
+			before, _ := w.answered(time.Second)
+			for _, b := range w.backends {
+				w.restartAgent(b, false)
+			}
+			w.balancers[0].rate = 400e3 // bytes a second, a few times what the callers' packets need
+			w.restartBalancer(w.balancers[0])
+			w.run(2 * time.Second)
+			all, timely := w.answered(time.Second)
+			Expect(w.broken).To(BeEmpty())
+			Expect(timely-before).To(BeNumerically(">", 3*80), "answers within a second, of %d", all-before)
+		}
+	})
+
 	It("go to the newer registration of an address that has two", func() {
 		w := calm(19, 1, 2, 0)
 		old := w.backends["verify-00"]
--- a/internal/coordination/steering/world_test.go
+++ b/internal/coordination/steering/world_test.go
@@ -20,11 +20,13 @@
 
 // Ports and times of the world; all delays are modelled time.
 const (
-	linkPort    = 7120
-	hopDelay    = time.Millisecond
-	tickPeriod  = 10 * time.Millisecond
-	repeatFirst = 200 * time.Millisecond
-	attemptEnd  = 1400 * time.Millisecond
+	linkPort = 7120
+	hopDelay = time.Millisecond
+	// datagramHeader is what IP and UDP add to a frame.
+	datagramHeader = 28
+	tickPeriod     = 10 * time.Millisecond
+	repeatFirst    = 200 * time.Millisecond
+	attemptEnd     = 1400 * time.Millisecond
 )
 
 var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
@@ -71,6 +73,8 @@
 type balancerVM struct {
 	at      netip.AddrPort
 	down    bool
+	rate    float64   // of its link, bytes a second; 0 without a bound
+	idle    time.Time // when the link has sent all that waits
 	machine *steering.Balancer
 }
 
@@ -155,7 +159,7 @@
 
 func (w *world) restartBalancer(b *balancerVM) {
 	b.down = false
-	b.machine = steering.New(steering.Options{Codec: w.codec, AgentPort: linkPort, Seed: w.rng.Uint64()})
+	b.machine = steering.New(steering.Options{Codec: w.codec, AgentPort: linkPort, Seed: w.rng.Uint64(), LinkRate: b.rate})
 	w.publishTo(b)
 }
 
@@ -233,7 +237,21 @@
 	if w.lost != nil && w.lost(from, to.Addr()) {
 		return
 	}
-	w.after(hopDelay, func() { w.receive(netip.AddrPortFrom(from, linkPort), to, frame) })
+	w.after(hopDelay+w.queued(from, len(frame)), func() { w.receive(netip.AddrPortFrom(from, linkPort), to, frame) })
+}
+
+// queued is how long a frame waits for the link of its balancer.
+func (w *world) queued(from netip.Addr, size int) time.Duration {
+	for _, b := range w.balancers {
+		if b.at.Addr() == from && b.rate > 0 {
+			if b.idle.Before(w.now) {
+				b.idle = w.now
+			}
+			b.idle = b.idle.Add(time.Duration(float64(size+datagramHeader) / b.rate * float64(time.Second)))
+			return b.idle.Sub(w.now)
+		}
+	}
+	return 0
 }
 
 // receive hands a frame to the process at an address.
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -14,6 +14,9 @@
 	"github.com/currantturn/currantturn/internal/transport/datagram"
 )
 
+// bytesPerMegabit converts a link's capacity.
+const bytesPerMegabit = 1e6 / 8
+
 // FlowBalancerOptions are a balancer of opaque flows and its surroundings.
 type FlowBalancerOptions struct {
 	Codec       currantturn.PacketCodec
@@ -63,6 +66,7 @@
 	b := &FlowBalancer{
 		Balancer: steering.New(steering.Options{
 			Codec: opts.Codec, Domain: opts.Domain, AgentPort: opts.Link.Port(), Seed: opts.Seed,
+			LinkRate: opts.Capacity * bytesPerMegabit,
 		}),
 		opts:    opts,
 		callers: callers,
