Add a soak of the real programs under faults from outside

cmd/soak runs flow_balancer and flow_agent as processes on loopback with stand-ins for the store, routers, backend servers and callers. Proxies harm datagrams and connections to the store; processes are killed, stopped and paused by their ids; the store is down, busy, silent, slow, broken off, garbled or without history. Checked from what callers and backend servers see: open flows, whole and own answers, routes, configurations, leaving backend servers, requests that run once, recovery, service in calm, and processes that end by themselves.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,11 @@
 .PHONY: capacity
 capacity:
 	go run ./internal/capacity/print docs/capacity/slopes.ini docs/CAPACITY.md
+
+# Processes of the program under randomized faults; SEEDS of them from SEED on.
+SEEDS ?= 1
+JOBS ?= 2
+PROCESSES ?= 12
+.PHONY: soak
+soak: build
+	go run ./cmd/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --processes $(PROCESSES)
