--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,6 +39,7 @@
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "seeds to play at the same time"},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "length of the faults of each seed"},
 			&cli.IntFlag{Name: "processes", Value: 12, Usage: "processes of currantturn in each run"},
+			&cli.BoolFlag{Name: "regressions", Usage: "play the seeds that failed once in place of others"},
 			&cli.StringFlag{Name: "binary", Value: "bin/currantturn", Usage: "program under test"},
 			&cli.StringFlag{Name: "logs", Value: os.TempDir(), Usage: "directory for settings and logs; those of good runs are removed"},
 		},
@@ -48,13 +49,15 @@
 
 // play plays all seeds and prints one line for each, or all about a bad one.
 func play(ctx context.Context, c *cli.Command) error {
-	first, n := c.Uint64("seed"), c.Int("seeds")
 	free := make(chan struct{}, max(c.Int("jobs"), 1))
 	var mu sync.Mutex
 	var failed error
 	var all sync.WaitGroup
-	for seed := first; seed < first+uint64(n) && ctx.Err() == nil; seed++ {
+	for _, seed := range seeds(c) {
 		free <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
 		all.Go(func() {
 			defer func() { <-free }()
 			r, err := playSeed(ctx, c, seed)
@@ -75,6 +78,19 @@
 	return failed
 }
 
+func seeds(c *cli.Command) (all []uint64) {
+	if c.Bool("regressions") {
+		for _, r := range soak.Regressions {
+			all = append(all, r.Seed)
+		}
+		return all
+	}
+	for n := range c.Int("seeds") {
+		all = append(all, c.Uint64("seed")+uint64(n))
+	}
+	return all
+}
+
 func playSeed(ctx context.Context, c *cli.Command, seed uint64) (*soak.Result, error) {
 	dir, err := os.MkdirTemp(c.String("logs"), fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
--- /dev/null
+++ b/internal/soak/regression.go
@@ -0,0 +1,13 @@
+package soak
+
+// Regression is a seed that failed once, with the cause.
+type Regression struct {
+	Seed  uint64
+	Cause string
+}
+
+// Regressions are played again by soak --regressions.
+var Regressions = []Regression{
+	{Seed: 1, Cause: "the judge forgot a flow that its caller had closed; a paused agent delivered its opening packet late"},
+	{Seed: 13, Cause: "the judge took a service that older versions name as well for the proof of the newest version"},
+}
