Bound reports of load and plans, name slow backend servers in the log

Cause: at the size of two years an agent reports to 64 balancers five times a second, 17 KB/s against 5 KB/s for all control, and each of 1,920 registrations that end in a lost failure domain costs every balancer a plan of 8.3 ms (docs/CAPACITY.md). Now an agent sends at most 75 reports a second, to the balancer first that has waited longest, and a balancer makes a plan at most every 100 ms. The log has a line when a backend server becomes slow against those it is compared with, and when it no longer is, with the times and the report's age.

--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -12,6 +12,7 @@
 	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/shard"
+	"golang.org/x/time/rate"
 )
 
 // Options are an agent's place and its bounds.
@@ -46,6 +47,7 @@
 	mu         sync.Mutex // guards the fields below
 	waiting    []unanswered
 	balancers  map[netip.AddrPort]*listener
+	reports    *rate.Limiter
 	unanswered int       // opening packets in a row without a sign of life
 	silent     time.Time // since when the backend server counts as silent
 	tried      time.Time // last opening packet to a silent backend server
@@ -93,6 +95,7 @@
 		opts:      opts,
 		flows:     shard.New[currantturn.FlowKey, record](opts.Flows),
 		balancers: make(map[netip.AddrPort]*listener),
+		reports:   rate.NewLimiter(reportsPerSecond, maxBalancers),
 		waits:     metric.NewHistogram(),
 		opens:     metric.NewHistogram(),
 		serves:    metric.NewHistogram(),
--- a/internal/coordination/holding/constants.go
+++ b/internal/coordination/holding/constants.go
@@ -32,6 +32,9 @@
 	reportEvery = 200 * time.Millisecond
 	// refreshEvery is how often they hear an unchanged one.
 	refreshEvery = time.Second
+	// reportsPerSecond bounds the reports to all balancers together: 54 bytes each,
+	// 4 KB/s of the 5 KB/s that a node may spend on control.
+	reportsPerSecond = 75
 	// heardWithin is how long a balancer gets reports after its last packet.
 	heardWithin = 5 * time.Second
 	// maxBalancers bounds the balancers that get reports.
--- a/internal/coordination/holding/holding_test.go
+++ b/internal/coordination/holding/holding_test.go
@@ -333,6 +333,36 @@
 	})
 })
 
+var _ = Describe("an agent that many balancers send to", func() {
+	It("keeps to its budget of reports and passes nobody over", func() {
+		r := newRig(true)
+		const balancers, seconds = 60, 4
+		told := map[netip.AddrPort]int{}
+		for n := range 100 * seconds {
+			if n%100 == 0 { // every balancer is heard, and the load changes
+				for b := range byte(balancers) {
+					from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 1, b}), 7120)
+					r.agent.Handle(r.now, from, relay.Probe{}, &currantturn.Effects{})
+				}
+			}
+			if n%4 == 0 {
+				r.open(other(byte(n / 4)))
+			}
+			r.tick(10 * time.Millisecond)
+			for _, s := range r.out.Sends {
+				told[s.To]++
+			}
+		}
+		reports := 0
+		for _, n := range told {
+			Expect(n).To(BeNumerically(">=", seconds))
+			reports += n
+		}
+		Expect(told).To(HaveLen(balancers + 1))
+		Expect(reports).To(BeNumerically("<=", 75*seconds+64))
+	})
+})
+
 func BenchmarkKnownFlow(b *testing.B) {
 	a := holding.New(holding.Options{Codec: platform.Packets{}, Service: "verify", LinkPort: 7120, Started: start, Fresh: true})
 	var out currantturn.Effects
--- a/internal/coordination/holding/report.go
+++ b/internal/coordination/holding/report.go
@@ -1,6 +1,7 @@
 package holding
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -40,7 +41,8 @@
 	return load
 }
 
-// report tells the balancers of late the load, soon when it has changed.
+// report tells the balancers of late the load, soon when it has changed. When
+// they are many, each waits for its turn.
 func (a *Agent) report(now time.Time, out *currantturn.Effects) {
 	load := a.load(now)
 	a.mu.Lock()
@@ -55,11 +57,17 @@
 		if age < reportEvery || l.load == load && age < refreshEvery {
 			continue
 		}
-		l.told, l.load = now, load
 		due = append(due, at)
 	}
-	slices.SortFunc(due, netip.AddrPort.Compare)
+	slices.SortFunc(due, func(x, y netip.AddrPort) int {
+		return cmp.Or(a.balancers[x].told.Compare(a.balancers[y].told), x.Compare(y))
+	})
 	for _, at := range due {
+		if !a.reports.AllowN(now, 1) {
+			return
+		}
+		l := a.balancers[at]
+		l.told, l.load = now, load
 		out.Send(at, relay.Report{Load: load})
 	}
 }
--- a/internal/coordination/placement/constants.go
+++ b/internal/coordination/placement/constants.go
@@ -8,6 +8,11 @@
 	warmUpSlowness = 2
 	// maxSlowness bounds what a measured service time may add.
 	maxSlowness = 10
+	// slowFrom is how many times longer than usual answers take of a backend
+	// server that counts as slow in the log: it gets half of the work or less.
+	slowFrom = 2
+	// slowUntil is below which it no longer does, so that the log does not flap.
+	slowUntil = 1.5
 	// remoteCost is the price of another failure domain, a few milliseconds of
 	// an answer.
 	remoteCost = 0.02
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -22,7 +22,7 @@
 // backend servers count as busier, and open flows break ties, since each may
 // send a request at any time. Those to avoid are taken only if all are.
 func Choose(rng *rand.Rand, all []Candidate) int {
-	typical := median(all)
+	typical := Usual(all)
 	best, lowest := -1, 0.0
 	for i := range all {
 		c := cost(&all[i], typical)
@@ -38,10 +38,7 @@
 // cost is the expected time to an answer, in units of a typical answer.
 func cost(c *Candidate, typical time.Duration) float64 {
 	slots := float64(max(c.Slots, 1))
-	speed := 1.0
-	if typical > 0 && c.Service > 0 {
-		speed = min(max(float64(c.Service)/float64(typical), 1), maxSlowness)
-	}
+	speed := c.slowness(typical)
 	if c.WarmUp {
 		speed = max(speed, warmUpSlowness)
 	}
@@ -56,9 +53,26 @@
 	return total
 }
 
-// median returns the lower median of the known service times, so that a slow
-// minority does not pass for typical.
-func median(all []Candidate) time.Duration {
+// slowness is how many times longer than usual its answers take, at least 1.
+func (c *Candidate) slowness(usual time.Duration) float64 {
+	if usual <= 0 || c.Service <= 0 {
+		return 1
+	}
+	return min(max(float64(c.Service)/float64(usual), 1), maxSlowness)
+}
+
+// Slow says whether the candidate answers so much more slowly than usual that
+// it gets clearly less work; one that was slow has to get clearly better.
+func (c *Candidate) Slow(usual time.Duration, was bool) bool {
+	if was {
+		return c.slowness(usual) >= slowUntil
+	}
+	return c.slowness(usual) >= slowFrom
+}
+
+// Usual returns the lower median of the known service times, so that a slow
+// minority does not pass for usual; zero if none is known.
+func Usual(all []Candidate) time.Duration {
 	var known [maxMedian]time.Duration
 	n := 0
 	for i := range all {
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -113,7 +113,7 @@
 func (b *Balancer) place(
 	now time.Time, p *plan, f *currantturn.FlowRoute, packet *currantturn.Packet, x *entry, out *currantturn.Effects,
 ) {
-	t := b.choose(now, p, f, packet.Flow, x.tried)
+	t := b.choose(now, p, f, packet.Flow, x.tried, out)
 	if t == nil {
 		b.counts.refused.Add(1)
 		b.lost(now, packet, x, "no backend server takes new flows", out)
@@ -141,6 +141,7 @@
 // the nearest if any of them answers.
 func (b *Balancer) choose(
 	now time.Time, p *plan, f *currantturn.FlowRoute, flow currantturn.FlowKey, tried []currantturn.BackendID,
+	out *currantturn.Effects,
 ) *target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -156,6 +157,7 @@
 			targets = append(targets, t)
 			candidates = append(candidates, c)
 		}
+		noteSlow(now, targets, candidates, out)
 		if best := placement.Choose(b.rng, candidates); best >= 0 {
 			return targets[best]
 		}
@@ -163,6 +165,28 @@
 	return nil
 }
 
+// noteSlow reports which targets have become slow, or are no longer, among those
+// that are compared.
+func noteSlow(now time.Time, targets []*target, candidates []placement.Candidate, out *currantturn.Effects) {
+	usual := placement.Usual(candidates)
+	for i, t := range targets {
+		c := &candidates[i]
+		if c.Service <= 0 || len(candidates) == 1 {
+			continue
+		}
+		slow, changed := t.judgeSpeed(c, usual)
+		if !changed {
+			continue
+		}
+		number := event.BackendUsual
+		if slow {
+			number = event.BackendSlow
+		}
+		out.Event(number, event.F("backend", t.entry.ID), event.F("service_time", c.Service),
+			event.F("usual", usual), event.F("age", t.evidence(now).age))
+	}
+}
+
 // share draws the service of a new flow by the route's weights.
 func (b *Balancer) share(f *currantturn.FlowRoute) currantturn.ServiceName {
 	if len(f.Shares) == 1 {
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -322,6 +322,25 @@
 		Expect(slow).To(BeNumerically("<", 20))
 	})
 
+	It("keep away from a slow backend server, which the log names, until it is fast again", func() {
+		w := calm(24, 1, 5, 0)
+		slow := w.backends["verify-01"]
+		slow.work = 150 * time.Millisecond
+		for range 200 {
+			w.addCaller(0)
+			w.run(10 * time.Millisecond)
+		}
+		Expect(w.events[event.BackendSlow]).To(Equal(1))
+		Expect(slow.ran).To(BeNumerically("<", 20), "half of an even share of 200")
+		slow.work = 20 * time.Millisecond
+		for range 300 {
+			w.addCaller(0)
+			w.run(10 * time.Millisecond)
+		}
+		Expect(w.events[event.BackendUsual]).To(Equal(1))
+		Expect(w.events[event.BackendSlow]).To(Equal(1))
+	})
+
 	It("are refused at once without a route or a backend server", func() {
 		w := calm(10, 1, 1, 0)
 		b := w.backends["verify-00"]
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -27,6 +27,7 @@
 	avoid    time.Time
 	warm     time.Time // end of the warm-up
 	silence  silence   // of the agent
+	slow     bool      // as the log says
 }
 
 // ask notes a question to the agent.
@@ -140,6 +141,16 @@
 		e.load.Running, e.load.Waiting, e.load.Flows, e.sent, e.load.Service(), e.age.Round(time.Millisecond))
 }
 
+// judgeSpeed notes whether the backend server is slow, and whether that is news.
+func (t *target) judgeSpeed(c *placement.Candidate, usual time.Duration) (slow, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slow = c.Slow(usual, t.slow)
+	changed = slow != t.slow
+	t.slow = slow
+	return slow, changed
+}
+
 func (t *target) take() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -228,7 +239,7 @@
 	was.mu.Lock()
 	defer was.mu.Unlock()
 	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
-	t.silence = was.silence
+	t.silence, t.slow = was.silence, was.slow
 	t.born = was.born
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -45,6 +45,8 @@
 	callers  *datagram.Socket
 	pulling  atomic.Bool
 	stopping atomic.Bool
+	changed  atomic.Bool // the feed's state, since it was put in force
+	inForce  time.Time   // when it was; only the tick uses it
 	cancel   context.CancelFunc
 }
 
@@ -147,7 +149,7 @@
 func (b *FlowBalancer) heartbeat(from netip.AddrPort, h publication.Heartbeat) {
 	switch b.feed.Handle(b.node.clock(), from, h) {
 	case publication.NewsChanged:
-		b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Publish(now, b.feed.State(), out) })
+		b.changed.Store(true)
 	case publication.NewsPull:
 		if b.pulling.CompareAndSwap(false, true) {
 			go b.pull(from)
@@ -157,11 +159,19 @@
 
 func (b *FlowBalancer) tick(now time.Time, out *currantturn.Effects) {
 	if b.feed.Tick(now, out) {
+		b.changed.Store(true)
+	}
+	if now.Sub(b.inForce) >= planEvery && b.changed.CompareAndSwap(true, false) {
+		b.inForce = now
 		b.Publish(now, b.feed.State(), out)
 	}
 	b.Tick(now, out)
 }
 
+// planEvery is the shortest time between two plans: many registrations may
+// change at once, and a plan of thousands takes some milliseconds.
+const planEvery = 100 * time.Millisecond
+
 // pullTimeout bounds the reading of another balancer's state.
 const pullTimeout = time.Second
 
@@ -176,9 +186,9 @@
 		b.node.failed(peer, err)
 		return
 	}
-	b.node.decide(func(now time.Time, out *currantturn.Effects) {
+	b.node.decide(func(_ time.Time, out *currantturn.Effects) {
 		b.feed.Pulled(s, out)
-		b.Publish(now, b.feed.State(), out)
+		b.changed.Store(true)
 		out.Event(event.StatePulled, event.F("peer", peer), event.F("revision", s.Revision))
 	})
 }
@@ -225,7 +235,7 @@
 		}
 		take(now, out)
 		if changed {
-			b.Publish(now, b.feed.State(), out)
+			b.changed.Store(true)
 			b.feed.Beat(now, out)
 		}
 	})
--- a/internal/event/steering.go
+++ b/internal/event/steering.go
@@ -17,6 +17,8 @@
 	RelayFailed      = 833
 	RequestReleased  = 835
 	LogLinesLeftOut  = 834
+	BackendSlow      = 836
+	BackendUsual     = 837
 )
 
 var steeringDefinitions = []Definition{
@@ -27,6 +29,8 @@
 	{FlowForgotten, "flow_forgotten", Info, "backend server does not know an open flow any more; its caller is told", fields("flow backend")},
 	{BackendSilent, "backend_silent", Warning, "backend server does not answer opening packets", fields("backend unanswered waited")},
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
+	{BackendSlow, "backend_slow", Warning, "backend server answers more slowly than others; it counts as busier", fields("backend service_time usual age")},
+	{BackendUsual, "backend_usual", Info, "backend server answers about as fast as others again", fields("backend service_time usual age")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned", fields("flow service")},
 	{RequestGivenUp, "request_given_up", Info, "caller gave up on a request that waited for a slot; it did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram is no packet of a flow", fields("peer error")},
