--- a/internal/coordination/publication/feed.go
+++ b/internal/coordination/publication/feed.go
@@ -8,6 +8,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/state/roster"
 )
 
@@ -74,6 +75,7 @@
 	since     uint64         // revision before that
 	beaten    time.Time
 	counts    Counters
+	ages      *metric.Histogram // of the state, at each heartbeat
 }
 
 // Counters are a feed's totals since its start, and its present state.
@@ -88,6 +90,8 @@
 	Unsure     uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
 	Peers      int    `json:"peers"`      // balancers that are alive
 	Registered int    `json:"registered"` // registrations that stand
+
+	Ages metric.Summary `json:"ages"` // age of configuration and registrations, at each heartbeat
 }
 
 // Counters returns the totals so far.
@@ -95,6 +99,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.counts
+	c.Ages = f.ages.Summary()
 	c.Revision = f.state.Revision
 	if f.state.Routing != nil {
 		c.Version = uint64(f.state.Routing.Version)
@@ -120,6 +125,7 @@
 		rng:     rand.New(rand.NewPCG(opts.Seed, 7)),
 		servers: roster.New(),
 		peers:   make(map[netip.AddrPort]peer),
+		ages:    metric.NewHistogram(),
 	}
 	for _, s := range opts.Seeds {
 		if s != opts.Self {
--- a/internal/coordination/publication/peer.go
+++ b/internal/coordination/publication/peer.go
@@ -98,6 +98,9 @@
 		changed = true
 	}
 	if now.Sub(f.beaten) >= heartbeatEvery {
+		if f.state.Routing != nil {
+			f.ages.Record(now.Sub(f.confirmed))
+		}
 		f.beat(now, heartbeatFan, out)
 	}
 	return changed
