--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,6 +21,7 @@
 	cmd      *exec.Cmd
 	ended    chan struct{} // of the present process
 	expected bool          // its end
+	stops    int           // planned stops that it was asked for
 	starts   int
 }
 
@@ -53,7 +54,7 @@
 		return eris.Wrapf(err, "start %s", p.name)
 	}
 	ended := make(chan struct{})
-	p.cmd, p.ended, p.expected = cmd, ended, false
+	p.cmd, p.ended, p.expected, p.stops = cmd, ended, false, 0
 	p.starts++
 	go p.wait(cmd, ended)
 	return nil
@@ -62,13 +63,13 @@
 func (p *program) wait(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
 	p.mu.Lock()
-	expected := p.expected
+	expected, stops := p.expected, p.stops
 	p.cmd = nil
 	p.mu.Unlock()
 	close(ended)
 	if !expected {
 		p.failed(p.name + " ended by itself: " + cmd.ProcessState.String())
-	} else if err != nil && cmd.ProcessState.Exited() {
+	} else if err != nil && cmd.ProcessState.Exited() && stops < 2 { // a second signal ends it at once
 		p.failed(p.name + " failed at a planned stop: " + err.Error())
 	}
 }
@@ -103,6 +104,7 @@
 	p.expected = true
 	cmd, ended := p.cmd, p.ended
 	if cmd != nil {
+		p.stops++
 		_ = cmd.Process.Signal(syscall.SIGTERM)
 	}
 	p.mu.Unlock()
