--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"os"
@@ -68,7 +69,8 @@
 	watched, unwatch := context.WithCancel(ctx)
 	defer unwatch()
 	go reportLeftOut(watched, leftOut, report)
-	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", o.Link.Address))
+	link := cmp.Or(o.Link.Address, o.Relay.LinkAddress) // a role has one of them
+	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", link))
 	started := p.Now()
 	err := p.supervise(ctx, path, o, logger, report, hook)
 	if err != nil {
