--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -74,14 +74,10 @@
 }
 
 // leave marks the instance as leaving, which the store has acknowledged.
-func (m *backendVM) leave(now time.Time) *instance {
+func (m *backendVM) leave(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := *m.present
-	b.leaving = now
-	// Flows and work go on under the same name.
-	*m.present = b
-	return m.present
+	m.present.leaving = now
 }
 
 func (m *backendVM) instance() *instance {
@@ -152,7 +148,7 @@
 		f.next += uint32(len(p.Data))
 		f.answer = nil
 		m.judge.ran(now, p.Data, b)
-		work := workLeft + time.Duration(m.rng.Int64N(int64(workMost-workLeft)))
+		work := workLeast + time.Duration(m.rng.Int64N(int64(workMost-workLeast)))
 		go m.work(b, conn, id, f, p.Data, work, m.slots)
 	case f.answer != nil:
 		write(conn, m.net.at(agentNet, m.index, outboundPort), f.answer)
--- a/internal/soak/constants.go
+++ b/internal/soak/constants.go
@@ -15,8 +15,8 @@
 	regressSlack = 250 * time.Millisecond
 	// recoverWithin is the bound for service to be back after the last fault.
 	recoverWithin = 12 * time.Second
-	// strayFor and strayPackets: so many packets of a flow at other backend servers
-	// within so long, and none at its own, lose the flow.
+	// strayFor and strayPackets bound what other backend servers may get of a flow
+	// while its own gets nothing: packets, and the time between first and last.
 	strayFor     = 2 * time.Second
 	strayPackets = 3
 	// stopWithin is how long a planned stop may take.
@@ -47,10 +47,11 @@
 	faultEvery = 700 * time.Millisecond
 	// longestFault bounds a fault; several overlap.
 	longestFault = 3 * time.Second
-	// slots and work of a backend server: a fraction of them is used.
-	slots    = 4
-	workLeft = 4 * time.Millisecond
-	workMost = 16 * time.Millisecond
+	// slots of a backend server, and the least and most work of a request: callers
+	// use a fraction of what they allow.
+	slots     = 4
+	workLeast = 4 * time.Millisecond
+	workMost  = 16 * time.Millisecond
 	// services that share the backend servers.
 	services = 3
 	// flowsPerCaller is how many flows a caller keeps at a time.
