Log which agents count as silent, and who watches the store

A reset for want of a holder did not tell whose silence counted as a no (838, 839), and the log did not tell when a balancer took over the reading of the store from others or gave it back (808, 809). Both are beliefs that decide on flows.

--- a/internal/coordination/publication/feed.go
+++ b/internal/coordination/publication/feed.go
@@ -74,6 +74,7 @@
 	changed   []roster.Entry // by the last watch, if nothing else changed
 	since     uint64         // revision before that
 	beaten    time.Time
+	watching  bool // as the log says
 	counts    Counters
 	ages      *metric.Histogram // of the state, at each heartbeat
 }
@@ -105,11 +106,7 @@
 		c.Version = uint64(f.state.Routing.Version)
 		c.Unsure = uint64(max(now.Sub(f.confirmed), 0).Milliseconds())
 	}
-	for _, p := range f.peers {
-		if now.Sub(p.heard) < peerTimeout {
-			c.Peers++
-		}
-	}
+	c.Peers = f.alive(now)
 	for i := range f.state.Servers {
 		if f.state.Servers[i].Gone.IsZero() {
 			c.Registered++
--- a/internal/coordination/publication/feed_test.go
+++ b/internal/coordination/publication/feed_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/suite"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -33,6 +34,7 @@
 	refuse  func(n int) bool // whose calls the store refuses
 	silent  bool             // watches hear nothing
 	cut     func(from, to int) bool
+	events  map[int]int
 }
 
 type node struct {
@@ -48,6 +50,7 @@
 	f := &fleet{
 		now: time.Unix(1_000_000, 0), version: 1, at: 10,
 		servers: []currantturn.Registration{{ID: "a", State: currantturn.BackendActive}},
+		events:  map[int]int{},
 	}
 	for i := range n {
 		x := &node{at: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7120)}
@@ -108,6 +111,9 @@
 			}
 		}
 	}
+	for _, e := range out.Events {
+		f.events[e.Number]++
+	}
 	if r := x.feed.State().Routing; r != nil {
 		x.back = x.back || r.Version < x.last
 		x.last = r.Version
@@ -224,6 +230,19 @@
 		everywhere(f)
 	})
 
+	It("has a line in the log when a balancer begins to watch the store for others", func() {
+		f := newFleet(6)
+		f.play(4 * time.Second)
+		watched := f.events[event.StoreWatched] - f.events[event.StoreLeftToOthers]
+		Expect(watched).To(Equal(2), "the watchers of a fleet")
+		f.cut = func(from, to int) bool { return from == 5 || to == 5 }
+		f.play(3 * time.Second)
+		Expect(f.events[event.StoreWatched] - f.events[event.StoreLeftToOthers]).To(BeNumerically(">", watched))
+		f.cut = nil
+		f.play(3 * time.Second)
+		Expect(f.events[event.StoreWatched] - f.events[event.StoreLeftToOthers]).To(Equal(watched))
+	})
+
 	It("carries a changed registration in heartbeats, without pulls", func() {
 		f := newFleet(12)
 		f.play(3 * time.Second)
--- a/internal/coordination/publication/peer.go
+++ b/internal/coordination/publication/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
 )
 
 // News is what a heartbeat brings.
@@ -101,11 +102,37 @@
 		if f.state.Routing != nil {
 			f.ages.Record(now.Sub(f.confirmed))
 		}
+		f.noteWatching(now, out)
 		f.beat(now, heartbeatFan, out)
 	}
 	return changed
 }
 
+// noteWatching reports whether this balancer watches the store for others, when
+// that changes with the peers that are alive.
+func (f *Feed) noteWatching(now time.Time, out *currantturn.Effects) {
+	watching := f.watches(now)
+	if watching == f.watching || f.state.Routing == nil {
+		return
+	}
+	f.watching = watching
+	number := event.StoreLeftToOthers
+	if watching {
+		number = event.StoreWatched
+	}
+	out.Event(number, event.F("peers", f.alive(now)), event.F("age", now.Sub(f.confirmed)))
+}
+
+// alive counts the balancers that were heard lately.
+func (f *Feed) alive(now time.Time) (n int) {
+	for _, p := range f.peers {
+		if now.Sub(p.heard) < peerTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // Beat sends heartbeats at once, since the state has changed.
 func (f *Feed) Beat(now time.Time, out *currantturn.Effects) {
 	f.mu.Lock()
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/publication"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/state/shard"
@@ -195,7 +196,7 @@
 	if t == nil {
 		return
 	}
-	b.hear(now, t)
+	b.hear(now, t, out)
 	switch m := m.(type) {
 	case relay.Accepted:
 		t.report(now, m.Load)
@@ -212,8 +213,10 @@
 }
 
 // hear notes a sign of life of an agent.
-func (b *Balancer) hear(now time.Time, t *target) {
-	t.hear()
+func (b *Balancer) hear(now time.Time, t *target, out *currantturn.Effects) {
+	if t.hear() {
+		out.Event(event.AgentHeard, event.F("backend", t.entry.ID), event.F("peer", t.agent))
+	}
 	b.heard.Store(now.UnixNano())
 	b.asked.Store(0)
 }
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -238,7 +238,7 @@
 	if t == nil || f == nil {
 		return
 	}
-	b.hear(now, t)
+	b.hear(now, t, out)
 	b.flows.Update(e.Packet.Flow, func(x *entry) *entry {
 		switch {
 		case x == nil:
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -324,6 +324,12 @@
 		}
 		return true
 	}
+	for _, t := range p.holders(f) {
+		if !slices.Contains(x.absent, t.entry.ID) && t.noteSilent() {
+			out.Event(event.AgentSilent, event.F("backend", t.entry.ID), event.F("peer", t.agent),
+				event.F("unanswered", t.unanswered(now, b.heardAny())), event.F("registered", !t.gone()))
+		}
+	}
 	b.counts.absent.Add(1)
 	b.lost(now, packet, x, "nobody holds the flow", out)
 	return true
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -227,6 +227,14 @@
 			Expect(c.resets).To(Equal(1))
 		}
 		Expect(w.broken).To(BeEmpty())
+		Expect(w.events[event.AgentSilent]).To(Equal(2), "once at each balancer")
+		w.lost = nil
+		w.run(time.Second)
+		for range 40 {
+			w.addCaller(0)
+			w.run(20 * time.Millisecond)
+		}
+		Expect(w.events[event.AgentHeard]).To(Equal(2))
 	})
 
 	// Everything restarts: each flow is searched for, and no agent knows its flows.
--- a/internal/coordination/steering/target.go
+++ b/internal/coordination/steering/target.go
@@ -28,6 +28,7 @@
 	warm     time.Time // end of the warm-up
 	silence  silence   // of the agent
 	slow     bool      // as the log says
+	absence  bool      // whether the log says that the agent is silent
 }
 
 // ask notes a question to the agent.
@@ -37,11 +38,23 @@
 	t.silence.ask(now, heardAny)
 }
 
-// hear notes a sign of life of the agent.
-func (t *target) hear() {
+// hear notes a sign of life of the agent, and whether it was known as silent.
+func (t *target) hear() (wasSilent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silence.asks = 0
+	wasSilent = t.absence
+	t.absence = false
+	return wasSilent
+}
+
+// noteSilent notes that the agent counts as silent; it returns true if that is news.
+func (t *target) noteSilent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := !t.absence
+	t.absence = true
+	return news
 }
 
 // ended says whether the backend server is known to have ended, so that it
@@ -239,7 +252,7 @@
 	was.mu.Lock()
 	defer was.mu.Unlock()
 	t.load, t.reported, t.sent, t.avoid = was.load, was.reported, was.sent, was.avoid
-	t.silence, t.slow = was.silence, was.slow
+	t.silence, t.slow, t.absence = was.silence, was.slow, was.absence
 	t.born = was.born
 	if was.entry.WarmUp == e.WarmUp {
 		t.warm = was.warm // no news of the warm-up
--- a/internal/event/steering.go
+++ b/internal/event/steering.go
@@ -19,6 +19,8 @@
 	LogLinesLeftOut  = 834
 	BackendSlow      = 836
 	BackendUsual     = 837
+	AgentSilent      = 838
+	AgentHeard       = 839
 )
 
 var steeringDefinitions = []Definition{
@@ -31,6 +33,8 @@
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
 	{BackendSlow, "backend_slow", Warning, "backend server answers more slowly than others; it counts as busier", fields("backend service_time usual age")},
 	{BackendUsual, "backend_usual", Info, "backend server answers about as fast as others again", fields("backend service_time usual age")},
+	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do; it counts as holding no flows", fields("backend peer unanswered registered")},
+	{AgentHeard, "agent_heard", Info, "agent that was silent is heard again", fields("backend peer")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned", fields("flow service")},
 	{RequestGivenUp, "request_given_up", Info, "caller gave up on a request that waited for a slot; it did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram is no packet of a flow", fields("peer error")},
