Let one piece of code serve where the platform roles wrote another

- internal/state/schedule holds keys in order of time; balancer and agent of opaque flows each had the list and the loop that takes out what is due.
- internal/pause waits for a time or a context's end; core, the retries, the platform's stand-in and the soak had a function each, and three places the select in line.
- A kept packet is decoded in one place of steering, not in four; the usual service time of the candidates is worked out once for a new flow, not twice.
- The two roles share how they open their two sockets, serve one and are set up.

Behaviour is unchanged; the specs keep their assertions.

--- a/internal/coordination/holding/agent.go
+++ b/internal/coordination/holding/agent.go
@@ -11,6 +11,7 @@
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/state/schedule"
 	"github.com/currantturn/currantturn/internal/state/shard"
 	"golang.org/x/time/rate"
 )
@@ -44,8 +45,8 @@
 	serves *metric.Histogram // from a request's last wait to its answer
 	counts counts
 
-	mu         sync.Mutex // guards the fields below
-	waiting    []unanswered
+	mu         sync.Mutex                         // guards the fields below
+	waiting    schedule.List[currantturn.FlowKey] // opening packets that the backend server got
 	balancers  map[netip.AddrPort]*listener
 	reports    *rate.Limiter
 	unanswered int       // opening packets in a row without a sign of life
@@ -56,12 +57,6 @@
 	backlog    backlog.Backlog
 }
 
-// unanswered is an opening packet that the backend server got.
-type unanswered struct {
-	key currantturn.FlowKey
-	due time.Time
-}
-
 type counts struct {
 	delivered, bounced, returned, declined, forgotten, answers, foreign, full, waited, gaveUp atomic.Uint64
 }
@@ -131,7 +126,7 @@
 func (a *Agent) Pending() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.waiting)+a.backlog.Len()+a.work.inProgress() > 0
+	return a.waiting.Len()+a.backlog.Len()+a.work.inProgress() > 0
 }
 
 // complete says whether a flow without a record is certainly not held here: all
@@ -181,17 +176,12 @@
 // forgets flows.
 func (a *Agent) Tick(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
-	n := 0
-	for n < len(a.waiting) && !now.Before(a.waiting[n].due) {
-		n++
-	}
-	due := append([]unanswered(nil), a.waiting[:n]...)
-	a.waiting = append(a.waiting[:0], a.waiting[n:]...)
+	due := a.waiting.Take(now)
 	a.sweepAt++
 	number := a.sweepAt
 	a.mu.Unlock()
-	for _, w := range due {
-		a.overdue(now, w.key, out)
+	for _, key := range due {
+		a.overdue(now, key, out)
 	}
 	a.flows.Sweep(number, func(flow currantturn.FlowKey, r *record) bool {
 		a.expireRequest(now, r)
--- a/internal/coordination/holding/route.go
+++ b/internal/coordination/holding/route.go
@@ -81,7 +81,7 @@
 	}
 	a.deliver(d)
 	a.mu.Lock()
-	a.waiting = append(a.waiting, unanswered{key: d.packet.Flow, due: d.now.Add(answerTimeout)})
+	a.waiting.Add(d.packet.Flow, d.now.Add(answerTimeout))
 	a.mu.Unlock()
 	return &record{
 		progress: opening, balancer: d.from, sentAt: d.now, seen: d.now,
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -20,12 +20,11 @@
 // Choose returns the index of the best candidate, or -1 without any. It answers
 // a load of short requests beside long flows: work in progress decides, slow
 // backend servers count as busier, and open flows break ties, since each may
-// send a request at any time. Those to avoid are taken only if all are.
-func Choose(rng *rand.Rand, all []Candidate) int {
-	typical := Usual(all)
+// send a request at any time. Usual is the time of a usual answer. Those to avoid are taken only if all are.
+func Choose(rng *rand.Rand, all []Candidate, usual time.Duration) int {
 	best, lowest := -1, 0.0
 	for i := range all {
-		c := cost(&all[i], typical)
+		c := cost(&all[i], usual)
 		// Balancers that know the same must not all choose alike.
 		c *= 1 + noise*rng.Float64()
 		if best < 0 || c < lowest {
@@ -35,10 +34,10 @@
 	return best
 }
 
-// cost is the expected time to an answer, in units of a typical answer.
-func cost(c *Candidate, typical time.Duration) float64 {
+// cost is the expected time to an answer, in units of a usual answer.
+func cost(c *Candidate, usual time.Duration) float64 {
 	slots := float64(max(c.Slots, 1))
-	speed := c.slowness(typical)
+	speed := c.slowness(usual)
 	if c.WarmUp {
 		speed = max(speed, warmUpSlowness)
 	}
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -11,6 +11,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// choose compares all with each other, as balancers do.
+func choose(rng *rand.Rand, all []placement.Candidate) int {
+	return placement.Choose(rng, all, placement.Usual(all))
+}
+
 func TestPlacement(t *testing.T) { suite.Run(t, "placement") }
 
 // play sends short requests to backend servers of three slots each, the first
@@ -79,7 +84,7 @@
 
 	It("keeps nearly all requests in time beside a slow backend server, unlike a random choice", func() {
 		for seed := range uint64(10) {
-			timely, all := play(seed, 5, placement.Choose)
+			timely, all := play(seed, 5, choose)
 			naive, _ := play(seed, 5, random)
 			Expect(float64(timely)/float64(all)).To(BeNumerically(">", 0.97), "seed %d", seed)
 			Expect(timely).To(BeNumerically(">", naive), "seed %d", seed)
@@ -87,14 +92,14 @@
 	})
 
 	It("keeps all requests in time on a calm day", func() {
-		timely, all := play(1, 1, placement.Choose)
+		timely, all := play(1, 1, choose)
 		Expect(timely).To(Equal(all))
 	})
 
 	DescribeTable("prefers", func(better, worse placement.Candidate) {
 		better.Slots, worse.Slots = 3, 3
 		for range 100 {
-			Expect(placement.Choose(rng(), []placement.Candidate{worse, better, worse})).To(Equal(1))
+			Expect(choose(rng(), []placement.Candidate{worse, better, worse})).To(Equal(1))
 		}
 	},
 		Entry("less work", placement.Candidate{Running: 1}, placement.Candidate{Running: 3}),
@@ -109,13 +114,13 @@
 		fast := placement.Candidate{Slots: 3, Service: 20 * time.Millisecond, Running: 1}
 		slow := placement.Candidate{Slots: 3, Service: 100 * time.Millisecond}
 		for range 100 {
-			Expect(placement.Choose(rng(), []placement.Candidate{fast, slow, fast})).NotTo(Equal(1))
+			Expect(choose(rng(), []placement.Candidate{fast, slow, fast})).NotTo(Equal(1))
 		}
 	})
 
 	It("takes one that does not answer rather than none", func() {
-		Expect(placement.Choose(rng(), []placement.Candidate{{Slots: 1, Avoid: true}})).To(Equal(0))
-		Expect(placement.Choose(rng(), nil)).To(Equal(-1))
+		Expect(choose(rng(), []placement.Candidate{{Slots: 1, Avoid: true}})).To(Equal(0))
+		Expect(choose(rng(), nil)).To(Equal(-1))
 	})
 })
 
@@ -127,6 +132,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		placement.Choose(rng, all)
+		choose(rng, all)
 	}
 }
--- a/internal/coordination/steering/balancer.go
+++ b/internal/coordination/steering/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/state/schedule"
 	"github.com/currantturn/currantturn/internal/state/shard"
 )
 
@@ -40,9 +41,9 @@
 	rng *rand.Rand
 	// openings wait for the backend server's answer, by tries; searches for the
 	// agents'.
-	openings [maxTries - 1][]waiting
-	searches []waiting
-	rechecks []waiting
+	openings [maxTries - 1]schedule.List[currantturn.FlowKey]
+	searches schedule.List[currantturn.FlowKey]
+	rechecks schedule.List[currantturn.FlowKey]
 	// questions are the flows that agents will be asked for.
 	questions map[netip.AddrPort]relay.Flows
 	flushed   time.Time
@@ -54,23 +55,6 @@
 	counts   counts
 }
 
-// waiting is a flow for which something is due, in order of time.
-type waiting struct {
-	key currantturn.FlowKey
-	due time.Time
-}
-
-// takeDue takes those out that are due.
-func takeDue(all *[]waiting, now time.Time) []waiting {
-	n := 0
-	for n < len(*all) && !now.Before((*all)[n].due) {
-		n++
-	}
-	due := append([]waiting(nil), (*all)[:n]...)
-	*all = append((*all)[:0], (*all)[n:]...)
-	return due
-}
-
 // published is what a plan is made from.
 type published struct {
 	revision  uint64
@@ -178,10 +162,9 @@
 	for _, key := range deferred {
 		b.resume(now, key, out)
 	}
-	for _, p := range held {
-		e := currantturn.Envelope{Direction: currantturn.ToBackend}
-		if err := b.opts.Codec.Decode(p, currantturn.ToBackend, &e.Packet); err == nil {
-			b.Route(now, netip.AddrPort{}, &e, out)
+	for _, raw := range held {
+		if p, ok := b.unpack(raw); ok {
+			b.Route(now, netip.AddrPort{}, &currantturn.Envelope{Direction: currantturn.ToBackend, Packet: p}, out)
 		}
 	}
 }
@@ -231,11 +214,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for i := range b.openings {
-		if len(b.openings[i]) > 0 {
+		if b.openings[i].Len() > 0 {
 			return true
 		}
 	}
-	return len(b.searches)+len(b.rechecks)+len(b.questions) > 0
+	return b.searches.Len()+b.rechecks.Len()+len(b.questions) > 0
 }
 
 // Configure does nothing: this balancer follows a published state.
@@ -245,22 +228,22 @@
 // silent flows.
 func (b *Balancer) Tick(now time.Time, out *currantturn.Effects) {
 	b.mu.Lock()
-	var openings []waiting
+	var openings []currantturn.FlowKey
 	for i := range b.openings {
-		openings = append(openings, takeDue(&b.openings[i], now)...)
+		openings = append(openings, b.openings[i].Take(now)...)
 	}
-	searches, rechecks := takeDue(&b.searches, now), takeDue(&b.rechecks, now)
+	searches, rechecks := b.searches.Take(now), b.rechecks.Take(now)
 	b.sweepAt++
 	number := b.sweepAt
 	b.mu.Unlock()
-	for _, o := range openings {
-		b.overdue(now, o.key, out)
+	for _, key := range openings {
+		b.overdue(now, key, out)
 	}
-	for _, s := range searches {
-		b.overdueSearch(now, s.key, out)
+	for _, key := range searches {
+		b.overdueSearch(now, key, out)
 	}
-	for _, s := range rechecks {
-		b.recheck(now, s.key, out)
+	for _, key := range rechecks {
+		b.recheck(now, key, out)
 	}
 	b.flushQuestions(now, out)
 	b.probe(now, out)
--- a/internal/coordination/steering/route.go
+++ b/internal/coordination/steering/route.go
@@ -157,8 +157,9 @@
 			targets = append(targets, t)
 			candidates = append(candidates, c)
 		}
-		noteSlow(now, targets, candidates, out)
-		if best := placement.Choose(b.rng, candidates); best >= 0 {
+		usual := placement.Usual(candidates)
+		noteSlow(now, targets, candidates, usual, out)
+		if best := placement.Choose(b.rng, candidates, usual); best >= 0 {
 			return targets[best]
 		}
 	}
@@ -167,8 +168,9 @@
 
 // noteSlow reports which targets have become slow, or are no longer, among those
 // that are compared.
-func noteSlow(now time.Time, targets []*target, candidates []placement.Candidate, out *currantturn.Effects) {
-	usual := placement.Usual(candidates)
+func noteSlow(
+	now time.Time, targets []*target, candidates []placement.Candidate, usual time.Duration, out *currantturn.Effects,
+) {
 	for i, t := range targets {
 		c := &candidates[i]
 		if c.Service <= 0 || len(candidates) == 1 {
@@ -224,12 +226,18 @@
 func (b *Balancer) sendRaw(
 	now time.Time, t *target, f *currantturn.FlowRoute, intent currantturn.Intent, raw []byte, out *currantturn.Effects,
 ) {
-	var packet currantturn.Packet
-	if err := b.opts.Codec.Decode(raw, currantturn.ToBackend, &packet); err == nil { // as it did before
+	if packet, ok := b.unpack(raw); ok {
 		b.send(now, t, f, intent, &packet, out)
 	}
 }
 
+// unpack decodes a packet that was kept; one that decoded when it was kept does
+// so again, and only no packet at all does not.
+func (b *Balancer) unpack(raw []byte) (p currantturn.Packet, ok bool) {
+	err := b.opts.Codec.Decode(raw, currantturn.ToBackend, &p)
+	return p, err == nil
+}
+
 // returned takes back a packet that an agent did not deliver.
 func (b *Balancer) returned(
 	now time.Time, p *plan, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects,
@@ -282,8 +290,8 @@
 			return x
 		}
 		x.holder.shun(now)
-		var packet currantturn.Packet
-		if err := b.opts.Codec.Decode(x.opening, currantturn.ToBackend, &packet); err != nil {
+		packet, ok := b.unpack(x.opening)
+		if !ok {
 			return nil
 		}
 		out.Event(event.FlowUnanswered, event.F("flow", key), event.F("backend", x.holder.entry.ID),
--- a/internal/coordination/steering/search.go
+++ b/internal/coordination/steering/search.go
@@ -10,6 +10,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/rank"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/state/schedule"
 )
 
 // nearest returns the n targets that rank first for a flow. New flows are placed
@@ -178,8 +179,8 @@
 	b.searchOf(key, func(p *plan, f *currantturn.FlowRoute, x *entry) {
 		switch x.reach {
 		case askedNone:
-			var packet currantturn.Packet
-			if err := b.opts.Codec.Decode(x.pending, currantturn.ToBackend, &packet); err != nil {
+			packet, ok := b.unpack(x.pending)
+			if !ok {
 				return // nothing waits for this search
 			}
 			b.askLikely(now, p, f, &packet, x, out)
@@ -208,10 +209,10 @@
 
 // later notes that something is due for a flow; every list has one delay, so
 // that it stays in order of time.
-func (b *Balancer) later(list *[]waiting, key currantturn.FlowKey, due time.Time) {
+func (b *Balancer) later(list *schedule.List[currantturn.FlowKey], key currantturn.FlowKey, due time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	*list = append(*list, waiting{key: key, due: due})
+	list.Add(key, due)
 }
 
 // searchOf calls f for a flow that is searched for.
--- a/internal/core/flow_agent.go
+++ b/internal/core/flow_agent.go
@@ -34,15 +34,10 @@
 
 // StartFlowAgent binds the sockets and serves.
 func StartFlowAgent(opts FlowAgentOptions) (*FlowAgent, error) {
-	link, err := datagram.Listen(opts.Link)
+	link, outbound, err := listenBoth(opts.Link, opts.Outbound)
 	if err != nil {
 		return nil, err
 	}
-	outbound, err := datagram.Listen(opts.Outbound)
-	if err != nil {
-		_ = link.Close()
-		return nil, err
-	}
 	a := &FlowAgent{
 		Agent: holding.New(holding.Options{
 			Codec: opts.Codec, Service: opts.Service, Backend: opts.Name,
@@ -60,18 +55,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
-	go a.serve(link, a.fromBalancer)
-	go a.serve(outbound, a.fromBackend)
+	go a.node.serve(link, a.fromBalancer)
+	go a.node.serve(outbound, a.fromBackend)
 	go a.node.tick(ctx, restingTick, a.Tick)
 	return a, nil
 }
 
-func (a *FlowAgent) serve(s *datagram.Socket, take func(netip.AddrPort, []byte)) {
-	if err := s.Serve(take); err != nil {
-		a.node.failed(netip.AddrPort{}, err)
-	}
-}
-
 func (a *FlowAgent) fromBalancer(from netip.AddrPort, frame []byte) {
 	a.node.receive(from, frame, a, func(from netip.AddrPort, m currantturn.Message) {
 		a.node.decide(func(now time.Time, out *currantturn.Effects) { a.Handle(now, from, m, out) })
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -11,6 +11,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/publication"
 	"github.com/currantturn/currantturn/internal/coordination/steering"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/internal/transport/datagram"
 )
 
@@ -52,15 +53,10 @@
 
 // StartFlowBalancer binds the sockets, reads the store and serves.
 func StartFlowBalancer(opts FlowBalancerOptions) (*FlowBalancer, error) {
-	link, err := datagram.Listen(opts.Link)
+	link, callers, err := listenBoth(opts.Link, opts.Callers)
 	if err != nil {
 		return nil, err
 	}
-	callers, err := datagram.Listen(opts.Callers)
-	if err != nil {
-		_ = link.Close()
-		return nil, err
-	}
 	seeds := make([]netip.AddrPort, len(opts.Seeds))
 	for i, s := range opts.Seeds {
 		seeds[i] = netip.AddrPortFrom(s.Addr(), opts.Link.Port())
@@ -87,8 +83,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancel = cancel
-	go b.serve(link, b.fromProcess)
-	go b.serve(callers, b.fromCaller)
+	go b.node.serve(link, b.fromProcess)
+	go b.node.serve(callers, b.fromCaller)
 	go b.node.tick(ctx, restingTick, b.tick)
 	go b.read(ctx)
 	return b, nil
@@ -122,12 +118,6 @@
 	return b.node.link.Close()
 }
 
-func (b *FlowBalancer) serve(s *datagram.Socket, take func(netip.AddrPort, []byte)) {
-	if err := s.Serve(take); err != nil {
-		b.node.failed(netip.AddrPort{}, err)
-	}
-}
-
 func (b *FlowBalancer) fromCaller(from netip.AddrPort, packet []byte) {
 	e := currantturn.Envelope{Direction: currantturn.ToBackend}
 	if err := b.node.codec.Decode(packet, currantturn.ToBackend, &e.Packet); err != nil {
@@ -204,10 +194,7 @@
 			l, err := b.opts.Store.Watch(ctx, plan.After, plan.Wait)
 			b.took(err, func(now time.Time, out *currantturn.Effects) { b.feed.Watched(now, l, out) }, len(l.Items) > 0)
 		default:
-			select {
-			case <-ctx.Done():
-			case <-time.After(plan.Wait):
-			}
+			pause.For(ctx, plan.Wait)
 		}
 	}
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -37,7 +37,26 @@
 	pool    sync.Pool
 }
 
-// work is what one decision needs; it is reused.
+// listenBoth opens the link of a process and its other socket, or none.
+func listenBoth(link, other netip.AddrPort) (l, o *datagram.Socket, err error) {
+	if l, err = datagram.Listen(link); err != nil {
+		return nil, nil, err
+	}
+	if o, err = datagram.Listen(other); err != nil {
+		_ = l.Close() // nothing was read
+		return nil, nil, err
+	}
+	return l, o, nil
+}
+
+// serve hands over the datagrams of a socket until it is closed.
+func (n *relayNode) serve(s *datagram.Socket, take func(netip.AddrPort, []byte)) {
+	if err := s.Serve(take); err != nil {
+		n.failed(netip.AddrPort{}, err)
+	}
+}
+
+// relayWork is what one decision needs; it is reused.
 type relayWork struct {
 	out   currantturn.Effects
 	frame []byte
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/pause"
 )
 
 const (
@@ -32,7 +33,7 @@
 	a.stopping.Store(true)
 	a.claims.Stop()
 	a.Leave(true)
-	pause(ctx, partBeforeStop)
+	pause.For(ctx, partBeforeStop)
 	var errs []error
 	for _, f := range a.fronts() {
 		errs = append(errs, f.server.Shutdown(ctx))
@@ -41,7 +42,7 @@
 	errs = append(errs, a.handler.Settle(ctx))
 	a.handOver(ctx)
 	a.node.decide(a.machine.Members().Farewell)
-	pause(ctx, lingerAfterFarewell)
+	pause.For(ctx, lingerAfterFarewell)
 	errs = append(errs, a.Close())
 	return errors.Join(errs...)
 }
@@ -51,7 +52,7 @@
 	more := true
 	for more && ctx.Err() == nil {
 		a.node.decide(func(now time.Time, out *currantturn.Effects) { more = a.machine.HandOver(now, out) })
-		pause(ctx, handOverEvery)
+		pause.For(ctx, handOverEvery)
 	}
 }
 
@@ -70,10 +71,3 @@
 	_ = a.handler.Close()
 	return a.node.link.Close()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- /dev/null
+++ b/internal/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that a context may cut short.
+package pause
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,21 @@
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a time; it returns false if the context ended first.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/process/balancer.go
+++ b/internal/process/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/currantturn/currantturn/internal/command"
 	"github.com/currantturn/currantturn/internal/core"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/internal/settings"
 	"github.com/currantturn/currantturn/internal/transport/entry"
 )
@@ -48,10 +49,7 @@
 	return x.run(ctx, p, b, func(stop context.Context) error {
 		// The fabric needs a moment to send its packets elsewhere; a balancer
 		// holds no flow that its end could cut.
-		select {
-		case <-stop.Done():
-		case <-time.After(balancerDrain):
-		}
+		pause.For(stop, balancerDrain)
 		return b.Close()
 	})
 }
--- a/internal/process/relay.go
+++ b/internal/process/relay.go
@@ -15,6 +15,7 @@
 	"github.com/currantturn/currantturn/internal/core"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/internal/settings"
 	"github.com/currantturn/currantturn/internal/transport/published"
 	"github.com/currantturn/currantturn/platform"
@@ -28,6 +29,11 @@
 	servers []*http.Server
 }
 
+func newRelayParts(p *command.Process) *relayParts {
+	debug.SetMemoryLimit(memoryTarget)
+	return &relayParts{process: p, metrics: metric.NewRegistry()}
+}
+
 func (x *relayParts) report(e currantturn.Event) {
 	x.process.Log.Log(time.Now(), e)
 }
@@ -75,8 +81,7 @@
 // RunFlowBalancer runs a balancer of opaque flows until its planned stop or
 // the context's end.
 func RunFlowBalancer(ctx context.Context, p *command.Process) error {
-	debug.SetMemoryLimit(memoryTarget)
-	x := &relayParts{process: p, metrics: metric.NewRegistry()}
+	x := newRelayParts(p)
 	defer x.close()
 	seed, err := randomSeed()
 	if err != nil {
@@ -116,10 +121,7 @@
 			x.reload(func(*settings.Options) {})
 		case <-p.Stop:
 			b.Stopping()
-			select {
-			case <-ctx.Done():
-			case <-time.After(rotationDelay):
-			}
+			pause.For(ctx, rotationDelay)
 			return b.Close()
 		}
 	}
@@ -128,8 +130,7 @@
 // RunFlowAgent runs an agent of opaque flows until its planned stop or the
 // context's end.
 func RunFlowAgent(ctx context.Context, p *command.Process) error {
-	debug.SetMemoryLimit(memoryTarget)
-	x := &relayParts{process: p, metrics: metric.NewRegistry()}
+	x := newRelayParts(p)
 	defer x.close()
 	o := p.Options
 	a, err := core.StartFlowAgent(core.FlowAgentOptions{
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/platform/standin"
 )
 
@@ -67,7 +68,7 @@
 		for _, p := range programs {
 			p.kill()
 		}
-		pause(ctx, f.For)
+		pause.For(ctx, f.For)
 		for _, p := range programs {
 			err = errors.Join(err, p.start())
 		}
@@ -98,7 +99,7 @@
 	}
 	x.during(func() {
 		change(1, syscall.SIGSTOP)
-		pause(ctx, f.For)
+		pause.For(ctx, f.For)
 		change(-1, syscall.SIGCONT)
 	}, s)
 }
@@ -130,7 +131,7 @@
 			x.proxies[f.Balancer].set(silenceBoth)
 		}
 		x.links.change(balancer, agent, func(s *linkState) { change(s, 1) })
-		pause(ctx, f.For)
+		pause.For(ctx, f.For)
 		x.links.change(balancer, agent, func(s *linkState) { change(s, -1) })
 		if f.Kind == CutBalancer {
 			x.routers.isolate(f.Balancer, -1)
@@ -153,19 +154,19 @@
 	case StoreMode:
 		x.during(func() {
 			set(standin.Mode(f.How))
-			pause(ctx, f.For)
+			pause.For(ctx, f.For)
 			set(standin.Normal)
 		}, storeSubject)
 	case StoreRefuses:
 		x.during(func() {
 			set(standin.Mode(f.How))
-			pause(ctx, f.For)
+			pause.For(ctx, f.For)
 			set(standin.Normal)
 		}, balancerSubject(f.Balancer))
 	case StoreLink:
 		x.during(func() {
 			x.proxies[f.Balancer].set(connectionFault(f.How))
-			pause(ctx, f.For)
+			pause.For(ctx, f.For)
 			x.proxies[f.Balancer].set(passConnections)
 		}, balancerSubject(f.Balancer))
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/platform/standin"
 )
 
@@ -114,14 +115,14 @@
 		c.mu.Unlock()
 	}()
 	if !x.open(ctx) {
-		pause(ctx, time.Duration(c.random(int(pauseMost))))
+		pause.For(ctx, time.Duration(c.random(int(pauseMost))))
 		return
 	}
 	for n := range 1 + c.random(longFlow) {
 		if !x.request(ctx, fmt.Sprintf("%s/%d", own, n)) {
 			return
 		}
-		pause(ctx, time.Duration(c.random(int(pauseMost))))
+		pause.For(ctx, time.Duration(c.random(int(pauseMost))))
 	}
 	x.send(standin.Close|standin.Ack, "")
 }
@@ -240,10 +241,3 @@
 		write(x.conn, x.net.at(balancerNet, balancer, callerPort), p.Encode())
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/platform/standin"
 )
 
@@ -87,7 +88,7 @@
 	calm := o.judge.disturb(backendSubject(f.Agent))
 	defer func() { calm(time.Now()) }()
 	m.end()
-	pause(ctx, f.For)
+	pause.For(ctx, f.For)
 	b := o.instance(time.Now(), was.machine, was.service)
 	if f.How == "same_id" {
 		b = o.again(time.Now(), was)
@@ -97,7 +98,7 @@
 	}
 	o.register(b, "ready")
 	if b.id != was.id {
-		pause(ctx, heartbeatsMissed)
+		pause.For(ctx, heartbeatsMissed)
 		o.store.Remove(was.id)
 	}
 	return nil
@@ -113,12 +114,12 @@
 	was := m.instance()
 	o.register(was, "draining")
 	m.leave(time.Now())
-	pause(ctx, drainWithin+leavesAfter+f.For)
+	pause.For(ctx, drainWithin+leavesAfter+f.For)
 	calm := o.judge.disturb(backendSubject(f.Agent))
 	defer func() { calm(time.Now()) }()
 	m.end()
 	o.store.Remove(was.id)
-	pause(ctx, addressReuse)
+	pause.For(ctx, addressReuse)
 	b := o.instance(time.Now(), was.machine, (was.service+1)%services)
 	if o.lastOf(was.service, was.machine) {
 		b.service = was.service // the last one is replaced by one of its own service
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/platform/standin"
 	"github.com/rotisserie/eris"
 )
@@ -238,7 +239,7 @@
 		if time.Now().After(end) {
 			return eris.Errorf("only %d of %d balancers are ready; see the logs in %s", x.routers.ready(), len(x.balancers), x.opts.Dir)
 		}
-		pause(ctx, readinessEvery/5)
+		pause.For(ctx, readinessEvery/5)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -262,7 +263,7 @@
 	start := time.Now()
 	for _, f := range schedule {
 		faults.Go(func() {
-			pause(ctx, time.Until(start.Add(f.At)))
+			pause.For(ctx, time.Until(start.Add(f.At)))
 			if ctx.Err() != nil {
 				return
 			}
@@ -273,7 +274,7 @@
 	}
 	faults.Wait()
 	x.recover(ctx)
-	pause(ctx, 2*settle) // half of it calm for every subject
+	pause.For(ctx, 2*settle) // half of it calm for every subject
 	stop()
 	callers.Wait()
 }
@@ -295,7 +296,7 @@
 			x.judge.failed(time.Now(), "recover", "%d of %d callers are not served %s after the last fault", waiting, len(x.callers), recoverWithin)
 			return
 		}
-		pause(ctx, resendAfter/4)
+		pause.For(ctx, resendAfter/4)
 	}
 }
 
--- a/internal/standin/platform/service.go
+++ b/internal/standin/platform/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/internal/state/configuration"
 	"github.com/currantturn/currantturn/internal/transport/platform"
 	"github.com/currantturn/currantturn/pkg/patch"
@@ -148,7 +149,7 @@
 // ServeHTTP answers one call.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	delay, down := s.count(r.URL.Path)
-	if !sleep(r.Context(), delay) {
+	if !pause.For(r.Context(), delay) {
 		return
 	}
 	if down {
@@ -187,20 +188,6 @@
 	return s.delay, s.down
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (s *Service) serveSnapshot(w http.ResponseWriter) {
 	s.mu.Lock()
 	p := s.snapshot
--- /dev/null
+++ b/internal/state/schedule/list.go
@@ -0,0 +1,35 @@
+package schedule
+
+import "time"
+
+// List holds keys in the order in which they were added, which has to be that
+// of their times; it is not safe for concurrent use.
+type List[K any] struct {
+	entries []entry[K]
+}
+
+type entry[K any] struct {
+	key K
+	due time.Time
+}
+
+// Add appends a key that is due no earlier than those before it.
+func (l *List[K]) Add(key K, due time.Time) {
+	l.entries = append(l.entries, entry[K]{key: key, due: due})
+}
+
+// Take removes and returns the keys that are due.
+func (l *List[K]) Take(now time.Time) (due []K) {
+	n := 0
+	for n < len(l.entries) && !now.Before(l.entries[n].due) {
+		due = append(due, l.entries[n].key)
+		n++
+	}
+	l.entries = append(l.entries[:0], l.entries[n:]...)
+	return due
+}
+
+// Len returns how many keys the list holds.
+func (l *List[K]) Len() int {
+	return len(l.entries)
+}
--- /dev/null
+++ b/internal/state/schedule/list_test.go
@@ -0,0 +1,30 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantturn/currantturn/internal/state/schedule"
+	"github.com/currantturn/currantturn/internal/suite"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSchedule(t *testing.T) { suite.Run(t, "schedule") }
+
+var _ = Describe("a list", func() {
+	It("gives out what is due, in order, and keeps the rest", func() {
+		var l schedule.List[int]
+		start := time.Unix(1_000_000, 0)
+		Expect(l.Take(start)).To(BeEmpty())
+		for n := range 5 {
+			l.Add(n, start.Add(time.Duration(n)*time.Second))
+		}
+		Expect(l.Take(start.Add(2 * time.Second))).To(Equal([]int{0, 1, 2}))
+		Expect(l.Take(start.Add(2 * time.Second))).To(BeEmpty())
+		Expect(l.Len()).To(Equal(2))
+		l.Add(9, start.Add(9*time.Second))
+		Expect(l.Take(start.Add(time.Minute))).To(Equal([]int{3, 4, 9}))
+		Expect(l.Len()).To(BeZero())
+	})
+})
--- a/internal/transport/request/plain.go
+++ b/internal/transport/request/plain.go
@@ -8,6 +8,7 @@
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/admission"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/pause"
 	protocol "github.com/currantturn/currantturn/internal/protocol/request"
 )
 
@@ -81,15 +82,6 @@
 			_ = res.Body.Close()
 		}
 		x.h.counts.retries.Add(1)
-		sleep(ctx, delay)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		pause.For(ctx, delay)
 	}
 }
