Say each set-up of the platform roles' specs once

- The packets of three packages' specs are built by platform/standin, which had the layout already.
- The process specs share how the program is built, started and asked; the world of steering has restarts, cuts and departures of a VM as steps; settings of an agent of opaque flows are one file of test data.
- The soak harms the store in one way with three variants.

The specs keep their assertions.

--- a/cmd/currantturn/fleet_test.go
+++ b/cmd/currantturn/fleet_test.go
@@ -145,11 +145,46 @@
 	client      *http.Client
 }
 
+// build compiles the program under test into a directory.
+func build(dir string) (binary string) {
+	GinkgoHelper()
+	binary = filepath.Join(dir, "currantturn")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	return binary
+}
+
+// launch runs a role with settings until the spec's end; its log goes to a file.
+func launch(role, settings string, log *os.File) (pid int) {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	path := filepath.Join(dir, "settings.ini")
+	Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
+	cmd := exec.Command(build(dir), role, "--settings", path)
+	cmd.Stdout, cmd.Stderr = log, log
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait() // it was killed
+	})
+	return cmd.Process.Pid
+}
+
+// get reads a page; its status comes first.
+func get(at netip.AddrPort, path string) (string, error) {
+	answer, err := http.Get("http://" + at.String() + path)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer.Status + "\n" + string(body), err
+}
+
 func startFleet() *fleet {
 	f := &fleet{dir: GinkgoT().TempDir()}
-	f.binary = filepath.Join(f.dir, "currantturn")
-	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	f.binary = build(f.dir)
+	var err error
 	f.ca, err = authority.New(time.Now())
 	Expect(err).NotTo(HaveOccurred())
 	f.fabric, err = fabric.New(fabric.Options{Seed: 1, Delay: time.Millisecond})
--- a/cmd/currantturn/size_test.go
+++ b/cmd/currantturn/size_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"time"
@@ -51,10 +49,6 @@
 var _ = Describe("a balancer of opaque flows at the size of two years", func() {
 	It("stays within 64 MB with 9,600 registrations and 470 routes, while they change", func() {
 		const backends, routes, limit = 9600, 470, 64 << 20
-		dir := GinkgoT().TempDir()
-		binary, path := filepath.Join(dir, "currantturn"), filepath.Join(dir, "balancer.ini")
-		out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-		Expect(err).NotTo(HaveOccurred(), string(out))
 		store := standin.NewStore()
 		c := standin.Configuration{Version: 1, Limits: map[string]int{"idle_timeout_ms": 30000}}
 		for n := range routes {
@@ -77,33 +71,16 @@
 		defer server.Close()
 		ready, metrics := freePort("tcp"), freePort("tcp")
 		settings := fmt.Sprintf(sizeSettings, netip.MustParseAddrPort(server.Listener.Addr().String()), freePort("udp"), ready, freePort("udp"), freePort("tcp"), metrics)
-		Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
-		cmd := exec.Command(binary, "flow_balancer", "--settings", path)
-		log, err := os.Create(filepath.Join(dir, "log"))
+		log, err := os.Create(filepath.Join(GinkgoT().TempDir(), "log"))
 		Expect(err).NotTo(HaveOccurred())
 		defer log.Close()
-		cmd.Stdout, cmd.Stderr = log, log
-		Expect(cmd.Start()).To(Succeed())
-		defer func() {
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait() // it was killed
-		}()
-		get := func(at netip.AddrPort, path string) (string, error) {
-			answer, err := http.Get("http://" + at.String() + path)
-			if err != nil {
-				return "", err
-			}
-			defer answer.Body.Close()
-			var body bytes.Buffer
-			_, err = body.ReadFrom(answer.Body)
-			return answer.Status + "\n" + body.String(), err
-		}
+		pid := launch("flow_balancer", settings, log)
 		Eventually(func() (string, error) { return get(ready, platform.ReadinessPath) }, patient).Should(HavePrefix("200"))
 		most := 0
 		for n := range 60 { // changes, each of which gives a new plan
 			register(n, "draining")
 			time.Sleep(50 * time.Millisecond)
-			most = max(most, residentBytes(cmd.Process.Pid))
+			most = max(most, residentBytes(pid))
 		}
 		Eventually(func() (string, error) { return get(metrics, "/metrics") }, patient).Should(
 			ContainSubstring(fmt.Sprintf("currantturn_publication_registered %d\n", backends)))
--- a/cmd/currantturn/unread_test.go
+++ b/cmd/currantturn/unread_test.go
@@ -3,11 +3,8 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -37,16 +34,11 @@
 
 var _ = Describe("a process whose standard output nobody reads", func() {
 	It("goes on with packets", func() {
-		dir := GinkgoT().TempDir()
-		binary, path := filepath.Join(dir, "currantturn"), filepath.Join(dir, "agent.ini")
-		out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
-		Expect(err).NotTo(HaveOccurred(), string(out))
 		backend, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		Expect(err).NotTo(HaveOccurred())
 		defer backend.Close()
 		link, ready := freePort("udp"), freePort("tcp")
 		settings := fmt.Sprintf(unreadSettings, link, ready, freePort("udp"), freePort("udp"), backend.LocalAddr())
-		Expect(os.WriteFile(path, []byte(settings), 0o600)).To(Succeed())
 		r, w, err := os.Pipe()
 		Expect(err).NotTo(HaveOccurred())
 		defer r.Close()
@@ -56,21 +48,9 @@
 			_, err = w.Write(make([]byte, 4096))
 		}
 		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
-		cmd := exec.Command(binary, "flow_agent", "--settings", path)
-		cmd.Stdout, cmd.Stderr = w, w
-		Expect(cmd.Start()).To(Succeed())
+		launch("flow_agent", settings, w)
 		Expect(w.Close()).To(Succeed())
-		defer func() {
-			_ = cmd.Process.Kill()
-			_ = cmd.Wait() // it was killed
-		}()
-		Eventually(func() error {
-			answer, err := http.Get("http://" + ready.String() + platform.ReadinessPath)
-			if err == nil {
-				_ = answer.Body.Close()
-			}
-			return err
-		}, patient).Should(Succeed())
+		Eventually(func() (string, error) { return get(ready, platform.ReadinessPath) }, patient).Should(HavePrefix("200"))
 
 		// Each packet for another service is an event.
 		balancer, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(link))
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -144,21 +144,8 @@
 	})
 
 	It("name a process's link address in the log, whatever its role", func() {
-		path := filepath.Join(GinkgoT().TempDir(), "agent.ini")
-		Expect(os.WriteFile(path, []byte(`[process]
-role = flow_agent
-name = verify-0
-failure_domain = a
-[relay]
-link_address = 127.0.0.1:7120
-readiness_address = 127.0.0.1:8200
-outbound_address = 127.0.0.1:9000
-caller_address = 127.0.0.1:7260
-backend_address = 127.0.0.1:8080
-service = verify
-`), 0o600)).To(Succeed())
 		p, out, log := program(command.Hooks{FlowAgent: func(context.Context, *command.Process) error { return nil }})
-		Expect(run(p, "flow_agent --settings "+path)).To(Equal(command.ExitOK))
+		Expect(run(p, "flow_agent --settings "+settingsDir+"flow_agent.ini")).To(Equal(command.ExitOK))
 		Expect(out.String() + log.String()).To(MatchRegexp(`process_started.*127\.0\.0\.1:7120|127\.0\.0\.1:7120.*process_started`))
 	})
 
--- a/internal/coordination/holding/holding_test.go
+++ b/internal/coordination/holding/holding_test.go
@@ -1,8 +1,8 @@
 package holding_test
 
 import (
-	"encoding/binary"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +11,7 @@
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/suite"
 	"github.com/currantturn/currantturn/platform"
+	"github.com/currantturn/currantturn/platform/standin"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -18,11 +19,11 @@
 func TestHolding(t *testing.T) { suite.Run(t, "holding") }
 
 const (
-	syn     = 8
-	ack     = 64
-	fin     = 128
-	rst     = 2
-	bounced = 32
+	syn     = standin.Open
+	ack     = standin.Ack
+	fin     = standin.Close
+	rst     = standin.Reset
+	bounced = standin.Bounced
 )
 
 var (
@@ -34,17 +35,8 @@
 )
 
 func packet(from, to netip.AddrPort, flags byte, seq, acked uint32, data int) []byte {
-	b := make([]byte, 32+data)
-	binary.BigEndian.PutUint32(b, seq)
-	binary.BigEndian.PutUint32(b[4:], acked)
-	b[12] = flags
-	for i, at := range []netip.AddrPort{to, from} {
-		binary.BigEndian.PutUint16(b[18+6*i:], at.Port())
-		ip := at.Addr().As4()
-		copy(b[20+6*i:], ip[:])
-	}
-	binary.BigEndian.PutUint16(b[30:], uint16(data))
-	return b
+	p := standin.Packet{From: from, To: to, Flags: flags, Sequence: seq, Acked: acked, Data: strings.Repeat("x", data)}
+	return p.Encode()
 }
 
 // rig is one agent with the effects of its last decision.
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -62,8 +62,7 @@
 	It("keep their backend server when it drains and its registration vanishes while it still serves", func() {
 		w := calm(3, 3, 4, 40)
 		b := w.backends["verify-01"]
-		b.reg.State = currantturn.BackendDraining
-		w.publish()
+		w.drain(b)
 		w.run(500 * time.Millisecond)
 		b.gone = w.now
 		w.publish()
@@ -80,12 +79,7 @@
 	It("are reset soon when their backend server has left with its VM", func() {
 		w := calm(13, 2, 4, 40)
 		b := w.backends["verify-01"]
-		b.reg.State = currantturn.BackendDraining
-		w.publish()
-		b.silent, b.gone = true, w.now
-		left := b.at.Addr()
-		w.lost = func(from, to netip.Addr) bool { return from == left || to == left }
-		w.publish()
+		w.leave(b)
 		w.run(3 * time.Second)
 		reset := 0
 		for _, c := range w.callers {
@@ -101,8 +95,7 @@
 	It("are not reset by a balancer that was cut off from all agents for a while", func() {
 		w := calm(15, 1, 4, 40)
 		b := w.backends["verify-01"]
-		b.reg.State = currantturn.BackendDraining
-		w.publish()
+		w.drain(b)
 		b.gone = w.now
 		w.publish()
 		for _, d := range []time.Duration{400 * time.Millisecond, 1300 * time.Millisecond, 3 * time.Second} {
@@ -128,12 +121,7 @@
 		w.lost = nil
 		w.run(20 * time.Millisecond)
 		second := w.backends["verify-01"]
-		second.reg.State = currantturn.BackendDraining
-		w.publish()
-		second.silent, second.gone = true, w.now
-		w.publish()
-		gone := second.at.Addr()
-		w.lost = func(from, to netip.Addr) bool { return from == gone || to == gone }
+		w.leave(second)
 		w.run(3 * time.Second)
 		Expect(w.broken).To(BeEmpty())
 	})
@@ -142,7 +130,7 @@
 		w := calm(17, 2, 3, 20)
 		b := w.balancers[0]
 		Expect(b.machine.Isolated(w.now)).To(BeFalse())
-		w.lost = func(from, to netip.Addr) bool { return from == b.at.Addr() || to == b.at.Addr() }
+		w.cutOff(b.at.Addr())
 		w.run(700 * time.Millisecond)
 		Expect(b.machine.Isolated(w.now)).To(BeTrue())
 		Expect(w.balancers[1].machine.Isolated(w.now)).To(BeFalse())
@@ -154,8 +142,7 @@
 	It("do not start at a draining backend server", func() {
 		w := calm(4, 2, 3, 0)
 		b := w.backends["verify-01"]
-		b.reg.State = currantturn.BackendDraining
-		w.publish()
+		w.drain(b)
 		for range 60 {
 			w.addCaller(0)
 		}
@@ -167,12 +154,7 @@
 
 	It("find their holder again when its agent restarts and knows nothing", func() {
 		w := calm(5, 2, 4, 30)
-		for _, b := range w.backends {
-			w.restartAgent(b, false)
-		}
-		for _, b := range w.balancers {
-			w.restartBalancer(b)
-		}
+		w.restartAll()
 		w.run(3 * time.Second)
 		Expect(w.broken).To(BeEmpty())
 		for _, c := range w.callers {
@@ -199,11 +181,8 @@
 		w := calm(7, 2, 4, 20)
 		for _, b := range w.backends {
 			clear(b.flows)
-			w.restartAgent(b, false)
-		}
-		for _, b := range w.balancers {
-			w.restartBalancer(b)
 		}
+		w.restartAll()
 		w.run(time.Second)
 		for _, c := range w.callers {
 			Expect(c.resets).To(Equal(1))
@@ -215,13 +194,9 @@
 		w := calm(18, 2, 8, 30)
 		for _, b := range w.backends {
 			clear(b.flows)
-			w.restartAgent(b, false)
-		}
-		dead := w.backends["verify-03"].at.Addr()
-		w.lost = func(from, to netip.Addr) bool { return from == dead || to == dead }
-		for _, b := range w.balancers {
-			w.restartBalancer(b)
 		}
+		w.cutOff(w.backends["verify-03"].at.Addr())
+		w.restartAll()
 		w.run(1500 * time.Millisecond)
 		for _, c := range w.callers {
 			Expect(c.resets).To(Equal(1))
@@ -242,11 +217,8 @@
 		for seed := range uint64(5) {
 			w := calm(30+seed, 1, 40, 80)
 			before, _ := w.answered(time.Second)
-			for _, b := range w.backends {
-				w.restartAgent(b, false)
-			}
 			w.balancers[0].rate = 400e3 // bytes a second, a few times what the callers' packets need
-			w.restartBalancer(w.balancers[0])
+			w.restartAll()
 			w.run(2 * time.Second)
 			all, timely := w.answered(time.Second)
 			Expect(w.broken).To(BeEmpty())
--- a/internal/coordination/steering/world_test.go
+++ b/internal/coordination/steering/world_test.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"container/heap"
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -16,6 +16,7 @@
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/platform"
+	"github.com/currantturn/currantturn/platform/standin"
 )
 
 // Ports and times of the world; all delays are modelled time.
@@ -184,6 +185,35 @@
 	})
 }
 
+// restartAll restarts every process; no agent knows its flows then.
+func (w *world) restartAll() {
+	for _, b := range w.backends {
+		w.restartAgent(b, false)
+	}
+	for _, b := range w.balancers {
+		w.restartBalancer(b)
+	}
+}
+
+// cutOff loses every packet from and to a VM.
+func (w *world) cutOff(vm netip.Addr) {
+	w.lost = func(from, to netip.Addr) bool { return from == vm || to == vm }
+}
+
+// drain lets a backend server say that it leaves.
+func (w *world) drain(b *backendVM) {
+	b.reg.State = currantturn.BackendDraining
+	w.publish()
+}
+
+// leave ends a backend server that drains, with its VM.
+func (w *world) leave(b *backendVM) {
+	w.drain(b)
+	b.silent, b.gone = true, w.now
+	w.cutOff(b.at.Addr())
+	w.publish()
+}
+
 // publish puts the present registrations in force everywhere.
 func (w *world) publish() {
 	w.revision++
@@ -315,25 +345,13 @@
 
 // packetOf encodes a packet as either end writes it.
 func packetOf(from, to netip.AddrPort, flags byte, seq, ack uint32, data int) []byte {
-	b := make([]byte, 32+data)
-	binary.BigEndian.PutUint32(b[0:], seq)
-	binary.BigEndian.PutUint32(b[4:], ack)
-	b[12] = flags
-	binary.BigEndian.PutUint16(b[18:], to.Port())
-	ip := to.Addr().As4()
-	copy(b[20:], ip[:])
-	binary.BigEndian.PutUint16(b[24:], from.Port())
-	ip = from.Addr().As4()
-	copy(b[26:], ip[:])
-	binary.BigEndian.PutUint16(b[30:], uint16(data))
-	return b
+	p := standin.Packet{From: from, To: to, Flags: flags, Sequence: seq, Acked: ack, Data: strings.Repeat("x", data)}
+	return p.Encode()
 }
 
 const (
-	syn     = 8
-	ack     = 64
-	rst     = 2
-	bounced = 32
+	syn = standin.Open
+	ack = standin.Ack
 )
 
 // toBackend is a backend server that takes a packet.
@@ -357,8 +375,7 @@
 		}
 		w.outbound(b, packetOf(serviceAddress, p.Flow.Caller, syn|ack, f.iss, f.next, 0))
 	case f == nil || p.Acked-f.iss > 1<<24:
-		packet[12] |= bounced
-		packet[13] = 0
+		standin.Bounce(packet)
 		w.outbound(b, packet)
 	case p.DataSize > 0 && p.Sequence == f.next:
 		f.next += uint32(p.DataSize)
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -16,6 +15,7 @@
 	"github.com/currantturn/currantturn/internal/core"
 	"github.com/currantturn/currantturn/internal/transport/published"
 	"github.com/currantturn/currantturn/platform"
+	"github.com/currantturn/currantturn/platform/standin"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -64,21 +64,12 @@
 
 // flowPacket encodes a packet as either end of a flow writes it.
 func flowPacket(from, to netip.AddrPort, flags byte, seq, ack uint32, data string) []byte {
-	b := append(make([]byte, 32), data...)
-	binary.BigEndian.PutUint32(b, seq)
-	binary.BigEndian.PutUint32(b[4:], ack)
-	b[12] = flags
-	for i, end := range []netip.AddrPort{to, from} {
-		binary.BigEndian.PutUint16(b[18+6*i:], end.Port())
-		ip := end.Addr().As4()
-		copy(b[20+6*i:], ip[:])
-	}
-	binary.BigEndian.PutUint16(b[30:], uint16(len(data)))
-	return b
+	p := standin.Packet{From: from, To: to, Flags: flags, Sequence: seq, Acked: ack, Data: data}
+	return p.Encode()
 }
 
 var _ = Describe("a balancer and an agent of opaque flows", func() {
-	const syn, ack = 8, 64
+	const syn, ack = standin.Open, standin.Ack
 	var (
 		link, callers, outbound = uint16(0), uint16(0), uint16(0)
 		service                 = netip.MustParseAddrPort("198.18.0.1:443")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,6 +72,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	agent, err := os.ReadFile("testdata/agent.ini")
 	Expect(err).NotTo(HaveOccurred())
+	flowAgent, err := os.ReadFile("testdata/flow_agent.ini")
+	Expect(err).NotTo(HaveOccurred())
 
 	It("reads a balancer's file into typed options", func() {
 		o, err := settings.Load("testdata/balancer.ini")
@@ -112,23 +114,6 @@
 		Expect(err).To(MatchError(ContainSubstring("input too large")))
 	})
 
-	It("reports two handlers at one address", func() {
-		_, err := load(`[process]
-role = flow_agent
-name = verify-0
-failure_domain = a
-[relay]
-link_address = 127.0.0.1:7120
-outbound_address = 127.0.0.1:9000
-backend_address = 127.0.0.1:8080
-caller_address = 127.0.0.1:8081
-service = verify
-readiness_address = 127.0.0.1:8200
-metrics_address = 127.0.0.1:8200
-`)
-		Expect(err).To(MatchError("testdata/x.ini: [relay] metrics_address: same as readiness_address"))
-	})
-
 	DescribeTable("reports one more line as one problem",
 		func(file *[]byte, line, problem string) {
 			_, err := load(string(*file) + line)
@@ -152,6 +137,7 @@
 		Entry("directory for a file", &balancer, "\n[admin]\nca_file = .", "[admin] ca_file: testdata is not a regular file of 1 byte to 1MiB"),
 		Entry("empty file", &balancer, "\n[admin]\nca_file = empty.pem", "[admin] ca_file: testdata/empty.pem is not a regular file of 1 byte to 1MiB"),
 		Entry("proxy without answers", &balancer, "\n[entry]\nkind = proxy", "[entry] fabric_answer_address: missing; kind proxy needs it"),
+		Entry("two handlers at one address", &flowAgent, "metrics_address = 127.0.0.1:8200", "[relay] metrics_address: same as readiness_address"),
 		Entry("insecure API beyond loopback", &agent, "\n[admin]\ninsecure = true\naddress = 192.0.2.1:9000", "[admin] insecure: true needs a loopback address"),
 	)
 
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -150,24 +150,18 @@
 			}
 		}
 	}
+	begin, end := func() { set(standin.Mode(f.How)) }, func() { set(standin.Normal) }
+	disturbed := balancerSubject(f.Balancer)
 	switch f.Kind {
 	case StoreMode:
-		x.during(func() {
-			set(standin.Mode(f.How))
-			pause.For(ctx, f.For)
-			set(standin.Normal)
-		}, storeSubject)
-	case StoreRefuses:
-		x.during(func() {
-			set(standin.Mode(f.How))
-			pause.For(ctx, f.For)
-			set(standin.Normal)
-		}, balancerSubject(f.Balancer))
+		disturbed = storeSubject
 	case StoreLink:
-		x.during(func() {
-			x.proxies[f.Balancer].set(connectionFault(f.How))
-			pause.For(ctx, f.For)
-			x.proxies[f.Balancer].set(passConnections)
-		}, balancerSubject(f.Balancer))
+		p := x.proxies[f.Balancer]
+		begin, end = func() { p.set(connectionFault(f.How)) }, func() { p.set(passConnections) }
 	}
+	x.during(func() {
+		begin()
+		pause.For(ctx, f.For)
+		end()
+	}, disturbed)
 }
