Take no start of a backend server from its registration

Its registration, last written while it warmed up, made a balancer that had just started conclude that it "started now"; the agent, told so, believed that it had a record of every flow, and denied them. The registration may be of any age. Of the same kind: a balancer that sees a registration late dates the start too late, and with a restarted agent flows opened in between would be denied.

Change: no age of a backend server travels from balancers to agents. An agent is sure of its records when it is fresh or has run for the lifetime of a flow; otherwise its backend server answers or bounces the packet. The bytes of the frame stay reserved, so that old and new processes understand one another.

Ruled out: proofs that an agent can find itself. A port that refuses and later accepts connections shows a start, but on a power loss backend servers are up before their agents (35.38 s against 35.4 s and later); a port that refuses shows no end, since leaving servers still answer on flows up to 1.1 s after they close it; the machine's clocks and uptime do not show a power loss.

The spec that dated the start of a backend server is replaced by one on when an agent is unsure, which is as strict; the new spec of flows that are found again while registrations show a warm-up failed before.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -34,16 +34,13 @@
 	opts    Options
 	service atomic.Pointer[currantturn.ServiceName]
 	// revision is the newest revision of the published state received from any balancer.
-	revision atomic.Uint64
-	// backendStarted is the start time of the backend server as balancers observed
-	// it, in Unix nanoseconds of this VM's clock; 0 if unknown.
-	backendStarted atomic.Int64
-	flows          *shard.Map[currantturn.FlowKey, flowRecord]
-	tracker        loadTracker
-	waitTimes      *metric.Histogram // from the start of a caller's attempt until its request runs, if it had to wait
-	openTimes      *metric.Histogram // from an opening packet to its answer
-	serviceTimes   *metric.Histogram // from a request's delivery to the first data of its answer
-	counts         counts
+	revision     atomic.Uint64
+	flows        *shard.Map[currantturn.FlowKey, flowRecord]
+	tracker      loadTracker
+	waitTimes    *metric.Histogram // from the start of a caller's attempt until its request runs, if it had to wait
+	openTimes    *metric.Histogram // from an opening packet to its answer
+	serviceTimes *metric.Histogram // from a request's delivery to the first data of its answer
+	counts       counts
 
 	mu                 sync.Mutex                         // guards the fields below
 	openDeadlines      schedule.List[currantturn.FlowKey] // answer deadlines of delivered opening packets
@@ -133,12 +130,10 @@
 
 // recordsComplete reports whether a flow without a record is certainly not held
 // here, because packets of every flow of the backend server have passed this
-// process. That holds for a fresh agent, after an uptime of flowLifetime, and for a
-// backend server that started after the agent or less than startTolerance before
-// it, since it receives packets only from its agent.
+// process. That holds for a fresh agent and after an uptime of flowLifetime. The
+// start of the backend server is not known: its registration may be of any age.
 func (a *Agent) recordsComplete(now time.Time) bool {
-	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime ||
-		a.backendStarted.Load() > a.opts.Started.Add(-startTolerance).UnixNano()
+	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime
 }
 
 // Handle replies to a balancer's probe or query.
@@ -149,7 +144,7 @@
 		out.Send(from, relay.Report{Load: a.currentLoad(now)})
 	case relay.Query:
 		a.recordBalancer(now, from)
-		a.updateFromBalancer(now, m.Revision, time.Duration(m.AgeMS)*time.Millisecond)
+		a.updateRevision(m.Revision)
 		out.Send(from, a.answerQuery(now, m.Flows))
 	}
 }
--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -156,16 +156,23 @@
 		Expect(t.out.Deliveries).To(BeEmpty())
 	})
 
-	It("has a record of all flows if its backend server started just before it, but not if it started long before", func() {
-		for age, complete := range map[time.Duration]bool{300 * time.Millisecond: true, 5 * time.Second: false, 0: false} {
-			t := newTestAgent(false)
+	It("is unsure of unknown flows until it has run for the lifetime of a flow, unless no flow is older than it", func() {
+		unsure := func(t *testAgent) bool {
+			t.out.Reset()
 			t.agent.Handle(t.now, balancer, relay.Query{
-				Flows: relay.Flows{}.Append(currantturn.FlowKey{Caller: caller, Service: service}, 501), AgeMS: relay.AgeMS(age),
+				Flows: relay.Flows{}.Append(currantturn.FlowKey{Caller: caller, Service: service}, 501),
 			}, &t.out)
 			reply := t.out.Sends[0].Message.(relay.QueryReply)
-			Expect(reply.Absent.Len() == 1).To(Equal(complete))
-			Expect(reply.Unsure.Len() == 1).To(Equal(!complete))
+			Expect(reply.Absent.Len() + reply.Unsure.Len()).To(Equal(1))
+			return reply.Unsure.Len() == 1
 		}
+		Expect(unsure(newTestAgent(true))).To(BeFalse())
+		t := newTestAgent(false)
+		Expect(unsure(t)).To(BeTrue())
+		t.now = t.now.Add(time.Minute)
+		Expect(unsure(t)).To(BeTrue())
+		t.now = t.now.Add(time.Second)
+		Expect(unsure(t)).To(BeFalse())
 	})
 
 	It("records a flow that is older than itself from a packet of the backend server", func() {
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -18,10 +18,6 @@
 	// flowLifetime is how long the record of an idle flow is kept. An agent that
 	// has run longer has a record of every flow of its backend server.
 	flowLifetime = time.Minute
-	// startTolerance is how much earlier than the agent a backend server may start
-	// when both start with their VM. It is shorter than the restart of a killed
-	// agent.
-	startTolerance = time.Second
 	// closedFlowLifetime is how long the record of a closed flow is kept for late
 	// packets.
 	closedFlowLifetime = 5 * time.Second
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -23,7 +23,7 @@
 // Route delivers, stores or refuses a caller's packet received from a balancer.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
 	a.recordBalancer(now, from)
-	a.updateFromBalancer(now, e.Revision, e.BackendAge)
+	a.updateRevision(e.Revision)
 	in := &inboundPacket{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
@@ -43,24 +43,13 @@
 	}
 }
 
-// updateFromBalancer stores the newest revision and the latest start time of the
-// backend server received from balancers; an age of 0 means unknown. Replies to
-// balancers carry the revision: with an older one, a balancer may lack the
-// backend server that holds the flow.
-func (a *Agent) updateFromBalancer(now time.Time, revision uint64, age time.Duration) {
+// updateRevision stores the newest revision received from balancers. Replies to
+// balancers carry it: with an older one, a balancer may lack the backend server that
+// holds the flow.
+func (a *Agent) updateRevision(revision uint64) {
 	for {
 		old := a.revision.Load()
 		if revision <= old || a.revision.CompareAndSwap(old, revision) {
-			break
-		}
-	}
-	if age == 0 {
-		return
-	}
-	started := now.Add(-age).UnixNano()
-	for {
-		old := a.backendStarted.Load()
-		if started <= old || a.backendStarted.CompareAndSwap(old, started) {
 			return
 		}
 	}
--- a/internal/coordination/flowbalancer/balancer_test.go
+++ b/internal/coordination/flowbalancer/balancer_test.go
@@ -164,6 +164,22 @@
 		}
 	})
 
+	// The store's data may be of any age: a registration that was last written while
+	// its backend server warmed up does not show that the backend server has just
+	// started.
+	It("are found again after all processes restart and registrations still show a warm-up", func() {
+		sim := startFleet(25, 2, 4, 30)
+		for _, b := range sim.backends {
+			b.registration.WarmUpRemaining = 2 * time.Second
+		}
+		sim.restartAll()
+		sim.run(3 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		for _, c := range sim.callers {
+			Expect(c.resets + c.failed).To(BeZero())
+		}
+	})
+
 	It("are reset at once when their backend server has restarted and rejects their packets", func() {
 		sim := startFleet(6, 2, 4, 40)
 		b := sim.backends["verify-02"]
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -222,7 +222,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Revision: b.plan.Load().revision, BackendAge: t.age(now),
+		Revision: b.plan.Load().revision,
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: route.Priority, LatencyObjective: route.LatencyObjective, Timeout: route.Timeout,
 		},
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -170,9 +170,7 @@
 		for flows.Len() > 0 {
 			var batch relay.Flows
 			batch, flows = flows.Cut(relay.MaxFlows)
-			out.Send(t.agent, relay.Query{
-				Flows: batch, Revision: p.revision, AgeMS: relay.AgeMS(t.age(now)),
-			})
+			out.Send(t.agent, relay.Query{Flows: batch, Revision: p.revision})
 		}
 	}
 	clear(b.queries)
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -15,10 +15,9 @@
 
 // target is one incarnation of a backend server, reached through its agent.
 type target struct {
-	entry     roster.Entry
-	agent     netip.AddrPort // link address of the agent
-	seed      uint64         // hash of the ID, which ranks the target for flows
-	startedAt time.Time      // when the backend server was seen to have just started; zero if unknown
+	entry roster.Entry
+	agent netip.AddrPort // link address of the agent
+	seed  uint64         // hash of the ID, which ranks the target for flows
 
 	mu                 sync.Mutex
 	load               relay.Load
@@ -86,15 +85,6 @@
 	return !t.entry.Gone.IsZero()
 }
 
-// age returns how long ago the backend server was seen to have just started, or 0 if
-// unknown. A known age is at least a millisecond, since 0 means unknown on the wire.
-func (t *target) age(now time.Time) time.Duration {
-	if t.startedAt.IsZero() {
-		return 0
-	}
-	return max(now.Sub(t.startedAt), time.Millisecond)
-}
-
 // updateLoad stores the load that the agent reported.
 func (t *target) updateLoad(now time.Time, load relay.Load) {
 	t.mu.Lock()
@@ -246,12 +236,8 @@
 // target in the old plan if that is the same incarnation.
 func newTarget(now time.Time, e *roster.Entry, agent netip.AddrPort, old *plan) *target {
 	t := &target{entry: *e, agent: agent, seed: rank.Seed(e.ID)}
-	t.startedAt = e.StartedAt
 	if e.WarmUpRemaining > 0 {
 		t.warmUpUntil = now.Add(e.WarmUpRemaining)
-		if e.StartedAt.IsZero() {
-			t.startedAt = now
-		}
 	}
 	if old == nil {
 		return t
@@ -264,7 +250,6 @@
 	defer previous.mu.Unlock()
 	t.load, t.reportedAt, t.sentSinceReport, t.avoidUntil = previous.load, previous.reportedAt, previous.sentSinceReport, previous.avoidUntil
 	t.unanswered, t.loggedSlow, t.loggedUnresponsive = previous.unanswered, previous.loggedSlow, previous.loggedUnresponsive
-	t.startedAt = previous.startedAt
 	if previous.entry.WarmUpRemaining == e.WarmUpRemaining {
 		t.warmUpUntil = previous.warmUpUntil // the published warm-up is unchanged, so it does not start again
 	}
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -25,7 +24,7 @@
 	objectiveOffset   = 4  // milliseconds, 2 bytes, big-endian
 	timeoutOffset     = 6  // milliseconds, 2 bytes, big-endian
 	revisionOffset    = 8  // 8 bytes, big-endian
-	ageOffset         = 16 // milliseconds, 4 bytes, big-endian; 0 if unknown
+	reservedOffset    = 16 // 4 bytes, sent as 0 and not read
 	nameLengthOffset  = 20
 	packetHeaderBytes = 21
 	maxUint8          = 1<<8 - 1
@@ -50,16 +49,11 @@
 	dst = binary.BigEndian.AppendUint16(dst, clampedMS(e.Demand.LatencyObjective))
 	dst = binary.BigEndian.AppendUint16(dst, clampedMS(e.Demand.Timeout))
 	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
-	dst = binary.BigEndian.AppendUint32(dst, AgeMS(e.BackendAge))
+	dst = binary.BigEndian.AppendUint32(dst, 0) // reservedOffset
 	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
 
-// AgeMS returns an age in milliseconds, clamped to the range of its wire field.
-func AgeMS(d time.Duration) uint32 {
-	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
-}
-
 // clampedMS returns d in milliseconds, clamped to the range of a 2-byte field.
 func clampedMS(d time.Duration) uint16 {
 	return uint16(min(max(d.Milliseconds(), 0), maxUint16))
@@ -105,7 +99,6 @@
 		Timeout:          time.Duration(binary.BigEndian.Uint16(frame[timeoutOffset:])) * time.Millisecond,
 	}
 	e.Revision = binary.BigEndian.Uint64(frame[revisionOffset:])
-	e.BackendAge = time.Duration(binary.BigEndian.Uint32(frame[ageOffset:])) * time.Millisecond
 	name := frame[packetHeaderBytes : packetHeaderBytes+int(frame[nameLengthOffset])]
 	if string(name) == string(ownService) {
 		e.Service = ownService
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -53,7 +53,6 @@
 type Query struct {
 	Flows    Flows  `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"` // newest revision of the published state that the balancer has received
-	AgeMS    uint32 `cbor:"3,keyasint"` // time since the backend server's start, as its registration shows it; 0 if unknown
 }
 
 // Kind returns the name of the message kind on the wire.
--- a/packet.go
+++ b/packet.go
@@ -102,7 +102,4 @@
 	// The fields below are set with packets of opaque flows only.
 	Demand   Demand
 	Revision uint64 // of the newest published state that the sender has
-	// BackendAge is the time since the receiver's backend server was found to have
-	// just started; 0 if unknown.
-	BackendAge time.Duration
 }
