Give balancers a record of what the published state no longer shows

Above 64 agents a search covered the services of the route and those that this very process had seen it lead to; the new balancer had seen none, all agents it asked denied, and it reset flows whose backend server served. The same comes to any balancer that restarts, and likewise for a registration that was removed while its backend server still serves: a balancer that reads the store afterwards never hears of it.

Change: a state that balancers give one another carries the services that routes stopped leading to and how far back the record of removals reaches. A balancer whose record does not cover the lifetime of a flow pulls the state of one whose record reaches further back, also at the same revision. The record ends where changes may have been missed (a complete reading after a gap, a peer's record that begins after the own state was last confirmed). Without a record any agent may hold a flow: after the likely holders and those of the route's services have denied, all others are queried, within the share of the link, before a reset. After a failed read or a pause a watch goes on from the state's revision instead of reading everything again, which also keeps the record without gaps.

Weighed: queries to every agent at any time (at 9,600 hosts 230 kB a lost flow, so only without a record); asking the store for its history (20 s, and it may discard that sooner).

The fake store of its specs now also reports removals to a watch, as the real one does.

--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -11,7 +11,6 @@
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
-	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/state/schedule"
 	"github.com/currantturn/currantturn/internal/state/shard"
 )
@@ -57,14 +56,6 @@
 	counts      counts
 }
 
-// planSource is what a plan is built from.
-type planSource struct {
-	revision  uint64
-	routing   *currantturn.Routing
-	servers   []roster.Entry
-	agentPort uint16
-}
-
 // counts are the values of Counters, updated concurrently.
 type counts struct {
 	placed, replaced, known, searched, found, absent, refused, unrouted, full atomic.Uint64
@@ -154,7 +145,7 @@
 		b.mu.Unlock()
 		return
 	}
-	b.plan.Store(newPlan(now, &planSource{revision: s.Revision, routing: s.Routing, servers: s.Servers, agentPort: b.opts.AgentPort}, old))
+	b.plan.Store(newPlan(now, &s, b.opts.AgentPort, old))
 	buffered, deferred := b.buffered, b.deferred
 	b.deferred = nil
 	if b.Ready() {
--- a/internal/coordination/flowbalancer/entry.go
+++ b/internal/coordination/flowbalancer/entry.go
@@ -22,7 +22,8 @@
 const (
 	scopeNone   searchScope = ""
 	scopeLikely searchScope = "likely" // the agents that probably hold the flow
-	scopeAll    searchScope = "all"    // every agent that may hold it
+	scopeRoute  searchScope = "route"  // the agents of the services that the route is known to have led to
+	scopeAll    searchScope = "all"    // every agent
 )
 
 // entry is what a balancer remembers of a flow.
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -83,7 +83,7 @@
 		return p.likelyHolders(route, flow)
 	}
 	var all []*target
-	for _, t := range p.possibleHolders(route) {
+	for _, t := range p.routeHolders(route) {
 		if slices.Contains(e.tried, t.entry.ID) {
 			all = append(all, t)
 		}
@@ -116,24 +116,30 @@
 	}
 }
 
-// widenSearch queries all other agents that may hold the flow if the link has
-// capacity.
+// widenSearch queries further agents if the link has capacity: first all others that
+// are known to serve the route, and once those are ruled out, all that may hold the
+// flow.
 func (b *Balancer) widenSearch(
 	now time.Time, p *plan, route *currantturn.FlowRoute, flow currantturn.FlowKey, e *entry,
 ) {
-	if e.scope == scopeLikely && b.queryHolders(now, p, route, flow, e, e.likelyHolders(p, route, flow)) {
-		e.scope = scopeAll
+	switch holders := p.routeHolders(route); e.scope {
+	case scopeLikely:
+		if b.queryHolders(now, flow, e, holders, e.likelyHolders(p, route, flow)) {
+			e.scope = scopeRoute
+		}
+	case scopeRoute:
+		all := p.possibleHolders(now, route)
+		if len(all) > len(holders) && e.allRuledOut(now, b.lastReceived(), holders) && b.queryHolders(now, flow, e, all, holders) {
+			e.scope = scopeAll
+		}
 	}
 }
 
-// queryHolders queues a query to each agent that may hold the flow, except those
-// ruled out or listed in except. It returns false, with nothing queued, if the link
-// has no capacity.
-func (b *Balancer) queryHolders(
-	now time.Time, p *plan, route *currantturn.FlowRoute, flow currantturn.FlowKey, e *entry, except []*target,
-) bool {
+// queryHolders queues a query to each of the targets, except those ruled out or listed
+// in except. It returns false, with nothing queued, if the link has no capacity.
+func (b *Balancer) queryHolders(now time.Time, flow currantturn.FlowKey, e *entry, holders, except []*target) bool {
 	var targets []*target
-	for _, t := range p.possibleHolders(route) {
+	for _, t := range holders {
 		if !slices.Contains(except, t) && !e.ruledOut(t, now, b.lastReceived()) {
 			targets = append(targets, t)
 		}
@@ -190,7 +196,7 @@
 		case scopeLikely:
 			b.widenSearch(now, p, route, key, e)
 		}
-		if e.scope == scopeAll {
+		if e.scope == scopeRoute || e.scope == scopeAll {
 			b.schedule(&b.rechecks, key, now.Add(recheckInterval))
 		} else {
 			b.schedule(&b.searches, key, now.Add(widenDelay))
@@ -205,7 +211,15 @@
 		if b.finishIfAllRuledOut(now, p, route, &packet, e, out) || now.Sub(e.searchStarted) > searchTimeout {
 			return
 		}
-		b.queryHolders(now, p, route, key, e, nil)
+		before := e.scope
+		b.widenSearch(now, p, route, key, e)
+		switch {
+		case e.scope != before:
+		case e.scope == scopeAll:
+			b.queryHolders(now, key, e, p.targets, nil)
+		default:
+			b.queryHolders(now, key, e, p.routeHolders(route), nil)
+		}
 		b.schedule(&b.rechecks, key, now.Add(recheckInterval))
 	})
 }
@@ -293,21 +307,18 @@
 	now time.Time, p *plan, route *currantturn.FlowRoute, key currantturn.FlowKey, e *entry, out *currantturn.Effects,
 ) {
 	packet := currantturn.Packet{Flow: key, Mark: currantturn.MarkData, Acked: e.acked}
-	if b.finishIfAllRuledOut(now, p, route, &packet, e, out) || e.scope != scopeLikely {
+	if b.finishIfAllRuledOut(now, p, route, &packet, e, out) {
 		return
 	}
-	for _, t := range e.likelyHolders(p, route, key) {
-		if !e.ruledOut(t, now, b.lastReceived()) {
-			return
-		}
+	if e.scope != scopeLikely || e.allRuledOut(now, b.lastReceived(), e.likelyHolders(p, route, key)) {
+		b.widenSearch(now, p, route, key, e)
 	}
-	b.widenSearch(now, p, route, key, e)
 }
 
 // resumeSearch continues a deferred search after a newer state was published.
 func (b *Balancer) resumeSearch(now time.Time, key currantturn.FlowKey, out *currantturn.Effects) {
 	b.updateSearch(key, func(p *plan, route *currantturn.FlowRoute, e *entry) {
-		if e.scope == scopeAll {
+		if e.scope != scopeNone {
 			e.scope = scopeLikely // the new state may have added agents to query
 		}
 		b.continueAfterDenial(now, p, route, key, e, out)
@@ -321,7 +332,7 @@
 func (b *Balancer) finishIfAllRuledOut(
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) bool {
-	if !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(route)) {
+	if !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
 		return false
 	}
 	if e.minRevision > p.revision {
@@ -332,7 +343,7 @@
 		}
 		return true
 	}
-	for _, t := range p.possibleHolders(route) {
+	for _, t := range p.possibleHolders(now, route) {
 		if !slices.Contains(e.deniedBy, t.entry.ID) && t.markUnresponsive() {
 			out.Event(event.AgentSilent, event.F("backend", t.entry.ID), event.F("peer", t.agent),
 				event.F("unanswered", t.unansweredFor(now, b.lastReceived())), event.F("registered", !t.deregistered()))
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -15,6 +15,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/state/routehistory"
 	"github.com/currantturn/currantturn/platform"
 	"github.com/currantturn/currantturn/platform/platformtest"
 )
@@ -69,10 +70,13 @@
 	callers   map[netip.AddrPort]*caller
 	routing   *currantturn.Routing
 	revision  uint64
+	recorded  time.Duration                  // how far back the published record of removals reaches
+	earlier   []routehistory.Entry           // services that the route used to lead to, in that record
 	drop      func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
 
-	violations  []string    // violated rules, as messages
-	eventCounts map[int]int // by event number
+	violations  []string                        // violated rules, as messages
+	eventCounts map[int]int                     // by event number
+	searchedFor map[currantturn.ServiceName]int // queries and search packets, by the service of the agent
 }
 
 // balancerVM is a VM with a balancer.
@@ -105,7 +109,7 @@
 	sim := &simulation{
 		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		backends: map[currantturn.BackendID]*backendVM{}, callers: map[netip.AddrPort]*caller{},
-		eventCounts: map[int]int{},
+		eventCounts: map[int]int{}, searchedFor: map[currantturn.ServiceName]int{},
 		routing: &currantturn.Routing{Version: 1, Routes: []currantturn.FlowRoute{{
 			Address: serviceAddress, Shares: []currantturn.Share{{Service: "verify", Weight: 1}},
 			LatencyObjective: 120 * time.Millisecond, Timeout: 800 * time.Millisecond,
@@ -173,14 +177,20 @@
 	sim.publishTo(b)
 }
 
-// addBackend adds a backend server without publishing its registration.
+// addBackend adds a backend server of the service verify without publishing its
+// registration.
 func (sim *simulation) addBackend(slots int) *backendVM {
+	return sim.addBackendOf("verify", slots)
+}
+
+// addBackendOf adds a backend server of a service without publishing its registration.
+func (sim *simulation) addBackendOf(service currantturn.ServiceName, slots int) *backendVM {
 	n := len(sim.backends)
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(n + 1)}), linkPort)
 	b := &backendVM{
 		address: address, flows: map[netip.AddrPort]*connection{}, serviceTime: 20 * time.Millisecond,
 		registration: currantturn.Registration{
-			ID: currantturn.BackendID(fmt.Sprintf("verify-%02d", n)), Service: "verify",
+			ID: currantturn.BackendID(fmt.Sprintf("verify-%02d", n)), Service: service,
 			Address: netip.AddrPortFrom(address.Addr(), 8080), Slots: slots, State: currantturn.BackendActive,
 		},
 	}
@@ -191,7 +201,7 @@
 
 func (sim *simulation) restartAgent(b *backendVM, fresh bool) {
 	b.agent = flowagent.New(flowagent.Options{
-		Codec: sim.codec, Service: "verify", Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh,
+		Codec: sim.codec, Service: b.registration.Service, Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh,
 	})
 }
 
@@ -235,7 +245,9 @@
 }
 
 func (sim *simulation) publishTo(b *balancerVM) {
-	s := statesync.State{Revision: sim.revision, Routing: sim.routing}
+	s := statesync.State{
+		Revision: sim.revision, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier,
+	}
 	for _, id := range sim.backendIDs() {
 		backend := sim.backends[id]
 		s.Servers = append(s.Servers, roster.Entry{
@@ -321,6 +333,9 @@
 	}
 	for _, b := range sim.backends {
 		if b.address == to {
+			if _, query := m.(relay.Query); query || m == nil && e.Intent == currantturn.IntentSearch {
+				sim.searchedFor[b.registration.Service]++
+			}
 			sim.apply(to.Addr(), b, func(now time.Time, out *currantturn.Effects) {
 				if m != nil {
 					b.agent.Handle(now, from, m, out)
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -17,6 +17,12 @@
 	// minBackoff and maxBackoff bound the pause after a failed read, before jitter.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// resumeWait is the longest duration of the first watch after a failure or a pause,
+	// which confirms the state at once.
+	resumeWait = time.Millisecond
+	// minRecordGain is how much further back a peer's record of removals has to reach
+	// to be pulled.
+	minRecordGain = 5 * time.Second
 	// lapseGrace is how long after an outage of the store a registration may be
 	// missing although its backend server runs: about two seconds according to the
 	// platform.
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -10,6 +10,7 @@
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/state/roster"
+	"github.com/currantturn/currantturn/internal/state/routehistory"
 )
 
 // Options are the settings of a Feed.
@@ -23,14 +24,26 @@
 	// ApplyWithin is the time within which a published configuration has to be
 	// in force.
 	ApplyWithin time.Duration
+	// Fresh is true if no flow can be older than this process.
+	Fresh bool
 }
 
-// State is what is published at one revision of the store; it is never modified.
+// State is what is published at one revision of the store, with what it recently
+// contained; it is never modified.
 type State struct {
 	Revision uint64               `cbor:"1,keyasint"`
 	Routing  *currantturn.Routing `cbor:"2,keyasint"` // nil if the reader already has it
 	Servers  []roster.Entry       `cbor:"3,keyasint"`
 	Version  currantturn.Version  `cbor:"4,keyasint"` // of the routing
+	// RecordedMS is how far back the record of removals reaches: Servers contains the
+	// registrations and Earlier the services of routes that were removed since then.
+	RecordedMS uint32               `cbor:"5,keyasint,omitempty"`
+	Earlier    []routehistory.Entry `cbor:"6,keyasint,omitempty"`
+}
+
+// Recorded returns how far back the record of removals reaches.
+func (s *State) Recorded() time.Duration {
+	return time.Duration(s.RecordedMS) * time.Millisecond
 }
 
 // RoutingVersion returns the version of the routing, 0 without one.
@@ -62,11 +75,16 @@
 type Feed struct {
 	opts Options
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	state    State
-	servers  *roster.Roster
-	canWatch bool // a complete read succeeded, and no failure or pause followed it
+	mu      sync.Mutex
+	rng     *rand.Rand
+	state   State
+	servers *roster.Roster
+	earlier *routehistory.History
+	// recordedSince is the time since which no removal of a registration, or of a
+	// service from a route, is missing from the record.
+	recordedSince time.Time
+	mustList      bool // there is no state yet, or the store no longer has the changes after its revision
+	resumed       bool // a watch has succeeded since the last failure or pause
 	// confirmedAt is when the store last confirmed the state, to this balancer or
 	// to another one.
 	confirmedAt  time.Time
@@ -123,11 +141,17 @@
 // New returns a feed without a state.
 func New(now time.Time, opts Options) *Feed {
 	f := &Feed{
-		opts:    opts,
-		rng:     rand.New(rand.NewPCG(opts.Seed, 7)),
-		servers: roster.New(),
-		peers:   make(map[netip.AddrPort]peer),
-		ages:    metric.NewHistogram(),
+		opts:          opts,
+		rng:           rand.New(rand.NewPCG(opts.Seed, 7)),
+		servers:       roster.New(),
+		earlier:       routehistory.New(),
+		recordedSince: now,
+		mustList:      true,
+		peers:         make(map[netip.AddrPort]peer),
+		ages:          metric.NewHistogram(),
+	}
+	if opts.Fresh {
+		f.recordedSince = now.Add(-recordNeeded)
 	}
 	for _, s := range opts.Seeds {
 		if s != opts.Self {
@@ -138,10 +162,13 @@
 }
 
 // State returns the newest state, whose Routing is nil before the first one.
-func (f *Feed) State() State {
+func (f *Feed) State(now time.Time) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state
+	s := f.state
+	s.RecordedMS = f.recordedMS(now)
+	s.Earlier = f.earlier.Entries(now)
+	return s
 }
 
 // Next returns the next step. Only the watchers watch the store; the other
@@ -156,15 +183,23 @@
 		}
 	}
 	maxAge := f.opts.ApplyWithin / 2
-	hasState := f.state.Routing != nil && len(f.state.Servers) > 0
-	if hasState && !f.isWatcher(now) && now.Sub(f.confirmedAt) < maxAge {
-		f.canWatch = false
+	if f.usable() && !f.isWatcher(now) && now.Sub(f.confirmedAt) < maxAge {
+		f.resumed = false
 		return Plan{Step: StepPause, Wait: heartbeatInterval / 3}
 	}
-	if !f.canWatch {
+	if f.mustList {
 		return Plan{Step: StepList}
 	}
-	return Plan{Step: StepWatch, After: f.state.Revision, Wait: f.opts.ApplyWithin / 3}
+	wait := f.opts.ApplyWithin / 3
+	if !f.resumed {
+		wait = resumeWait
+	}
+	return Plan{Step: StepWatch, After: f.state.Revision, Wait: wait}
+}
+
+// usable reports whether the state has what it takes to place flows.
+func (f *Feed) usable() bool {
+	return f.state.Routing != nil && len(f.state.Servers) > 0
 }
 
 // backoff returns the pause with jitter after the present number of failures.
@@ -182,13 +217,16 @@
 	f.counts.Lists++
 	// With the lower revision, the watch repeats changes made between the two reads.
 	revision := min(routing.Revision, servers.Revision)
-	f.canWatch = true
+	f.mustList, f.resumed = false, true
 	if revision < f.state.Revision {
 		return // a newer state came from a peer; the watch continues from its revision
 	}
+	if f.usable() && revision != f.state.Revision || !f.usable() && !f.opts.Fresh {
+		f.recordedSince = now // earlier changes may be missing
+	}
 	next := State{Revision: revision, Routing: f.state.Routing}
 	for _, item := range routing.Items {
-		next.Routing = f.newerRouting(item.Routing, out)
+		f.setRouting(now, &next, item.Routing, out)
 	}
 	var registrations []currantturn.Registration
 	for _, item := range servers.Items {
@@ -207,6 +245,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endOutage(now, out)
+	f.resumed = true
 	f.counts.Watches++
 	if changes.Revision < f.state.Revision {
 		return // a newer state came from a peer
@@ -241,7 +280,7 @@
 func (f *Feed) applyItem(now time.Time, item currantturn.Item, next *State, out *currantturn.Effects) {
 	switch {
 	case item.Routing != nil:
-		next.Routing = f.newerRouting(item.Routing, out)
+		f.setRouting(now, next, item.Routing, out)
 	case item.Registration != nil:
 		f.servers.Put(*item.Registration)
 		out.Event(event.RegistrationSeen, event.F("backend", item.Registration.ID),
@@ -253,15 +292,17 @@
 	}
 }
 
-// newerRouting returns r if its version is higher than that of the routing in
-// force, else the routing in force: a lower version never replaces a higher one.
-func (f *Feed) newerRouting(r *currantturn.Routing, out *currantturn.Effects) *currantturn.Routing {
-	old := f.state.Routing
-	if r == nil || old != nil && r.Version <= old.Version {
-		return old
+// setRouting replaces the routing of the next state by r if the version of r is
+// higher: a lower version never replaces a higher one.
+func (f *Feed) setRouting(now time.Time, next *State, r *currantturn.Routing, out *currantturn.Effects) {
+	if r == nil || r.Version <= next.RoutingVersion() {
+		return
+	}
+	if !f.earlier.Replace(now, next.Routing, r) {
+		f.recordedSince = now
 	}
+	next.Routing = r
 	out.Event(event.RoutingInForce, event.F("version", uint64(r.Version)), event.F("routes", len(r.Routes)))
-	return r
 }
 
 // RecordFailure records a failed read; compacted says that the store no longer
@@ -269,8 +310,9 @@
 func (f *Feed) RecordFailure(now time.Time, compacted bool, err error, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.canWatch = false
+	f.resumed = false
 	if compacted {
+		f.mustList = true
 		f.counts.Compacted++
 		return // the store answers, so a complete read follows without backoff
 	}
@@ -292,20 +334,28 @@
 	f.failures = 0
 }
 
-// ApplyPulled applies the state read from a peer if it is newer than the own one.
-func (f *Feed) ApplyPulled(s State, out *currantturn.Effects) {
+// ApplyPulled applies the state read from a peer if it is newer than the own one, and
+// adds the peer's record of removals to the own one.
+func (f *Feed) ApplyPulled(now time.Time, s State, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.Routing == nil && s.Version == f.state.RoutingVersion() {
 		s.Routing = f.state.Routing
 	}
-	if s.Revision <= f.state.Revision || s.Routing == nil {
+	if s.Revision < f.state.Revision || s.Routing == nil {
 		return
 	}
 	f.counts.Pulls++
+	f.mustList = false
+	f.mergeRecord(now, &s)
+	if s.Revision == f.state.Revision {
+		f.state.Servers = f.servers.Entries()
+		return
+	}
 	f.changed = nil
-	s.Routing = f.newerRouting(s.Routing, out)
-	f.servers.Restore(s.Servers)
-	s.Servers = f.servers.Entries()
-	f.state = s
+	next := State{Revision: s.Revision, Routing: f.state.Routing}
+	f.setRouting(now, &next, s.Routing, out)
+	f.servers.Update(now, s.Servers)
+	next.Servers = f.servers.Entries()
+	f.state = next
 }
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/suite"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -33,6 +35,8 @@
 	pulls         int                     // states read from another balancer
 	readRefused   func(n int) bool        // whether the store refuses a read by balancer n
 	emptyWatches  bool                    // watches return no changes
+	compacted     bool                    // watches fail until the reader has listed everything
+	routes        []currantturn.FlowRoute // of the published routing
 	heartbeatLost func(from, to int) bool // whether heartbeats from one balancer to another are lost
 	events        map[int]int             // events by number
 }
@@ -70,7 +74,10 @@
 }
 
 func (f *fleet) routing() currantturn.Listing {
-	return currantturn.Listing{Revision: f.revision, Items: []currantturn.Item{{Routing: &currantturn.Routing{Version: f.version}}}}
+	if f.version == 0 {
+		return currantturn.Listing{Revision: f.revision}
+	}
+	return currantturn.Listing{Revision: f.revision, Items: []currantturn.Item{{Routing: &currantturn.Routing{Version: f.version, Routes: f.routes}}}}
 }
 
 func (f *fleet) registrations() currantturn.Listing {
@@ -81,6 +88,18 @@
 	return l
 }
 
+// removals returns the removals of registrations that balancer b has and the store no
+// longer has.
+func (f *fleet) removals(b *balancer) (items []currantturn.Item) {
+	for _, e := range b.feed.State(f.now).Servers {
+		registered := slices.ContainsFunc(f.servers, func(r currantturn.Registration) bool { return r.ID == e.ID })
+		if e.Gone.IsZero() && !registered {
+			items = append(items, currantturn.Item{Removed: e.ID})
+		}
+	}
+	return items
+}
+
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tickInterval) {
 		for i := range f.balancers {
@@ -108,7 +127,7 @@
 				continue
 			}
 			if receiver.feed.HandleHeartbeat(f.now, b.addr, s.Message.(statesync.Heartbeat)) == statesync.OutcomePull {
-				receiver.feed.ApplyPulled(b.feed.State(), &out)
+				receiver.feed.ApplyPulled(f.now, b.feed.State(f.now), &out)
 				f.pulls++
 			}
 		}
@@ -116,7 +135,7 @@
 	for _, e := range out.Events {
 		f.events[e.Number]++
 	}
-	if r := b.feed.State().Routing; r != nil {
+	if r := b.feed.State(f.now).Routing; r != nil {
 		b.wentBack = b.wentBack || r.Version < b.last
 		b.last = r.Version
 	}
@@ -124,7 +143,7 @@
 
 // watchReturns reports whether a watch returns before its end because of a change.
 func (f *fleet) watchReturns(b *balancer) bool {
-	return !f.emptyWatches && b.feed.State().Revision < f.revision
+	return !f.emptyWatches && b.feed.State(f.now).Revision < f.revision
 }
 
 // read starts the next read of balancer i.
@@ -146,10 +165,14 @@
 		b.finishRead = func(out *currantturn.Effects) { b.feed.ApplyListing(f.now, began, f.routing(), f.registrations(), out) }
 		return
 	}
+	if f.compacted && b.feed.State(f.now).Revision < f.revision {
+		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, true, errors.New("compacted"), out) }
+		return
+	}
 	b.readEnds = f.now.Add(plan.Wait)
 	b.finishRead = func(out *currantturn.Effects) {
-		l := currantturn.Listing{Revision: f.revision, Items: f.registrations().Items}
-		if r := b.feed.State().Routing; r == nil || r.Version != f.version {
+		l := currantturn.Listing{Revision: f.revision, Items: append(f.registrations().Items, f.removals(b)...)}
+		if r := b.feed.State(f.now).Routing; r == nil || r.Version != f.version {
 			l.Items = append(l.Items, f.routing().Items...)
 		}
 		if f.emptyWatches {
@@ -171,7 +194,7 @@
 	for _, b := range f.balancers {
 		Expect(b.wentBack).To(BeFalse())
 		v := currantturn.Version(0)
-		if r := b.feed.State().Routing; r != nil {
+		if r := b.feed.State(f.now).Routing; r != nil {
 			v = r.Version
 		}
 		all = append(all, v)
@@ -258,8 +281,8 @@
 			f.revision++
 			f.run(time.Second)
 			for _, b := range f.balancers {
-				Expect(b.feed.State().Revision).To(Equal(f.revision))
-				Expect(b.feed.State().Servers[0].WarmUpRemaining).To(Equal(f.servers[0].WarmUpRemaining))
+				Expect(b.feed.State(f.now).Revision).To(Equal(f.revision))
+				Expect(b.feed.State(f.now).Servers[0].WarmUpRemaining).To(Equal(f.servers[0].WarmUpRemaining))
 			}
 		}
 		Expect(f.pulls - before).To(BeNumerically("<=", 3))
@@ -300,6 +323,16 @@
 		Expect(out.Events).To(BeEmpty())
 	})
 
+	It("is watched, not read again and again, until the first configuration is published", func() {
+		f := newFleet(1)
+		f.version = 0
+		f.run(5 * time.Second)
+		Expect(f.calls).To(BeNumerically("<", 10))
+		f.publish()
+		f.run(50 * time.Millisecond)
+		expectCurrentVersion(f)
+	})
+
 	It("is read with a bounded backoff while the store refuses reads", func() {
 		f := newFleet(1)
 		f.readRefused = func(int) bool { return true }
@@ -321,7 +354,7 @@
 		f.revision++
 		f.run(1500 * time.Millisecond)
 		placeable := func() (n int) {
-			for _, e := range f.balancers[0].feed.State().Servers {
+			for _, e := range f.balancers[0].feed.State(f.now).Servers {
 				if e.Placeable() {
 					n++
 				}
@@ -332,4 +365,101 @@
 		f.run(4 * time.Second)
 		Expect(placeable()).To(Equal(1))
 	})
+
+	Describe("with a record of removals", func() {
+		leadingTo := func(service currantturn.ServiceName) []currantturn.FlowRoute {
+			return []currantturn.FlowRoute{{
+				Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []currantturn.Share{{Service: service, Weight: 1}},
+			}}
+		}
+		// startRecorded returns a fleet of which a route has stopped leading to reports and
+		// a registration has been removed.
+		startRecorded := func() *fleet {
+			f := newFleet(4)
+			f.routes = leadingTo("reports")
+			f.servers = append(f.servers, currantturn.Registration{ID: "b", State: currantturn.BackendDraining})
+			f.run(2 * roster.GoneRetention)
+			f.routes = leadingTo("verify")
+			f.publish()
+			f.servers = f.servers[:1]
+			f.run(time.Second)
+			return f
+		}
+		expectRecord := func(f *fleet, i int) {
+			GinkgoHelper()
+			s := f.balancers[i].feed.State(f.now)
+			Expect(s.Recorded()).To(BeNumerically(">=", roster.GoneRetention))
+			Expect(s.Earlier).To(HaveLen(1))
+			Expect(s.Earlier[0].Service).To(Equal(currantturn.ServiceName("reports")))
+			Expect(s.Servers).To(HaveLen(2))
+		}
+
+		It("keeps what was removed", func() {
+			f := startRecorded()
+			for i := range f.balancers {
+				expectRecord(f, i)
+			}
+		})
+
+		It("gives it to a balancer that restarts, also if that has read the newest state from the store", func() {
+			f := startRecorded()
+			for i := 1; i < 4; i++ {
+				f.restart(i)
+				f.run(time.Second)
+				expectRecord(f, i)
+			}
+			f.restart(0)
+			f.run(time.Second)
+			expectRecord(f, 0)
+		})
+
+		It("does not claim a record after a restart of all balancers, unless there can be no older flows", func() {
+			f := startRecorded()
+			for i := range f.balancers {
+				f.restart(i)
+			}
+			f.run(time.Second)
+			for _, b := range f.balancers {
+				s := b.feed.State(f.now)
+				Expect(s.Recorded()).To(BeNumerically("<=", time.Second))
+			}
+			fresh := statesync.New(f.now, statesync.Options{ApplyWithin: applyWithin, Fresh: true})
+			var out currantturn.Effects
+			for range 2 { // until the first configuration is published, the listing is empty
+				fresh.ApplyListing(f.now, f.now, currantturn.Listing{Revision: 1}, currantturn.Listing{Revision: 1}, &out)
+				fresh.ApplyListing(f.now, f.now, f.routing(), f.registrations(), &out)
+			}
+			s := fresh.State(f.now)
+			Expect(s.Recorded()).To(Equal(roster.GoneRetention))
+		})
+
+		It("ends the record when changes may have been missed", func() {
+			f := startRecorded()
+			f.readRefused = func(int) bool { return true }
+			f.run(time.Second)
+			f.publish()
+			f.compacted = true
+			f.readRefused = nil
+			f.run(3 * time.Second)
+			for _, b := range f.balancers {
+				s := b.feed.State(f.now)
+				Expect(s.RoutingVersion()).To(Equal(f.version))
+				Expect(s.Recorded()).To(BeNumerically("<=", 4*time.Second))
+			}
+		})
+
+		It("continues the record after an outage whose changes the store still has", func() {
+			f := startRecorded()
+			f.readRefused = func(int) bool { return true }
+			f.run(time.Second)
+			f.publish()
+			f.readRefused = nil
+			f.run(3 * time.Second)
+			for i, b := range f.balancers {
+				s := b.feed.State(f.now)
+				Expect(s.RoutingVersion()).To(Equal(f.version))
+				expectRecord(f, i)
+			}
+		})
+	})
 })
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -20,6 +20,8 @@
 	// Since. Changed is empty if more has changed.
 	Since   uint64         `cbor:"6,keyasint,omitempty"`
 	Changed []roster.Entry `cbor:"7,keyasint,omitempty"`
+	// RecordedMS is how far back the sender's record of removals reaches.
+	RecordedMS uint32 `cbor:"8,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message on the wire.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -17,7 +17,7 @@
 const (
 	OutcomeNone    Outcome = "none"    // the state stays as it was
 	OutcomeChanged Outcome = "changed" // the heartbeat's change was applied to the state
-	OutcomePull    Outcome = "pull"    // the sender's state is newer and has to be pulled
+	OutcomePull    Outcome = "pull"    // the sender's state is newer, or its record reaches further back: pull it
 )
 
 // peer is another balancer.
@@ -73,6 +73,9 @@
 		return OutcomeChanged
 	}
 	f.confirm(now, h.AgeMS)
+	if f.needsRecord(now, h.RecordedMS) {
+		return OutcomePull
+	}
 	return OutcomeNone
 }
 
@@ -162,6 +165,7 @@
 		Revision: f.state.Revision, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
 		Peers: receivers[:min(len(receivers), maxHeartbeatPeers)], Since: f.changedSince, Changed: f.changed,
 	}
+	h.RecordedMS = f.recordedMS(now)
 	h.AgeMS = uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds())
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
 		out.Send(addr, h)
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -31,6 +31,7 @@
 	ApplyWithin   time.Duration    // in which a published configuration must come into force
 	LinkCapacity  float64          // of the network link, Mbit/s
 	Seed          uint64           // of random choices
+	FreshStart    bool             // no flow can be older than this process
 	// Pull reads the published state at another balancer's state address,
 	// without the routing if that has the known version.
 	Pull   func(ctx context.Context, at netip.AddrPort, known currantturn.Version) (statesync.State, error)
@@ -72,7 +73,7 @@
 		callers: callers,
 		feed: statesync.New(opts.Clock(), statesync.Options{
 			Self: opts.Link, Seeds: seeds, Seed: opts.Seed, ApplyWithin: opts.ApplyWithin,
-			Capacity: opts.LinkCapacity,
+			Capacity: opts.LinkCapacity, Fresh: opts.FreshStart,
 		}),
 	}
 	b.node = &relayNode{
@@ -105,7 +106,7 @@
 
 // Published returns the newest state that the feed has.
 func (b *FlowBalancer) Published() statesync.State {
-	return b.feed.State()
+	return b.feed.State(b.opts.Clock())
 }
 
 // PublishedCounters returns the feed's totals of reading published states.
@@ -161,7 +162,7 @@
 	}
 	if now.Sub(b.lastPublish) >= minPublishInterval && b.stateChanged.CompareAndSwap(true, false) {
 		b.lastPublish = now
-		b.Publish(now, b.feed.State(), out)
+		b.Publish(now, b.feed.State(now), out)
 	}
 	b.Tick(now, out)
 }
@@ -179,14 +180,14 @@
 	defer b.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	current := b.feed.State()
+	current := b.feed.State(b.opts.Clock())
 	pulled, err := b.opts.Pull(ctx, netip.AddrPortFrom(peer.Addr(), b.opts.State.Port()), current.RoutingVersion())
 	if err != nil {
 		b.node.reportError(peer, err)
 		return
 	}
-	b.node.decide(func(_ time.Time, out *currantturn.Effects) {
-		b.feed.ApplyPulled(pulled, out)
+	b.node.decide(func(now time.Time, out *currantturn.Effects) {
+		b.feed.ApplyPulled(now, pulled, out)
 		b.stateChanged.Store(true)
 		out.Event(event.StatePulled, event.F("peer", peer), event.F("revision", pulled.Revision))
 	})
--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -16,6 +16,7 @@
 // Relay holds the addresses of a process for opaque flows, and the settings that
 // depend on its role.
 type Relay struct {
+	FreshStart       bool // no flow can be older than this process
 	LinkAddress      netip.AddrPort
 	ReadinessAddress netip.AddrPort
 	MetricsAddress   netip.AddrPort
@@ -30,7 +31,6 @@
 	OutboundAddress netip.AddrPort
 	BackendAddress  netip.AddrPort
 	Service         currantturn.ServiceName
-	FreshStart      bool
 }
 
 func storeKeys() []Definition {
@@ -68,6 +68,6 @@
 		key("service", "", "Service that the backend server belongs to.",
 			names[currantturn.ServiceName](), func(o *Options) *currantturn.ServiceName { return &o.Relay.Service }).required().onlyFor(agent),
 		key("fresh_start", "false", "Set to true only when the whole system starts for the first time: no flow can then be older than this process.",
-			booleans(), func(o *Options) *bool { return &o.Relay.FreshStart }).onlyFor(agent),
+			booleans(), func(o *Options) *bool { return &o.Relay.FreshStart }),
 	)
 }
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -131,11 +131,26 @@
 	return all
 }
 
-// Restore replaces all entries by those of another roster.
-func (r *Roster) Restore(all []Entry) {
-	clear(r.entries)
-	clear(r.pendingUntil)
+// Update applies the entries of another roster with a newer state. An own entry that
+// the other roster does not have was removed.
+func (r *Roster) Update(now time.Time, all []Entry) {
+	listed := make(map[currantturn.BackendID]bool, len(all))
 	for _, e := range all {
+		listed[e.ID] = true
 		r.Adopt(e)
 	}
+	for id, e := range r.entries {
+		if !listed[id] && e.Gone.IsZero() {
+			r.markGone(now, e)
+		}
+	}
+}
+
+// AdoptGone adds the removed entries of another roster that are missing in this one.
+func (r *Roster) AdoptGone(all []Entry) {
+	for _, e := range all {
+		if !e.Gone.IsZero() && r.entries[e.ID] == nil {
+			r.Adopt(e)
+		}
+	}
 }
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -61,13 +61,34 @@
 		Expect(r.Entries()[0].WasDraining).To(BeTrue())
 	})
 
-	It("returns the same entries after a transfer to another roster", func() {
+	It("takes over a newer state and keeps what that no longer shows as removed", func() {
 		r := roster.New()
 		r.Replace(start, []currantturn.Registration{active, draining}, start)
 		r.Remove(start, "d", start)
 		other := roster.New()
-		other.Put(currantturn.Registration{ID: "stale"})
-		other.Restore(r.Entries())
-		Expect(other.Entries()).To(Equal(r.Entries()))
+		other.Put(currantturn.Registration{ID: "s", State: currantturn.BackendActive})
+		other.Put(currantturn.Registration{ID: "t"})
+		other.Remove(start.Add(-time.Second), "t", start.Add(-time.Minute))
+		other.Update(start, r.Entries())
+		Expect(other.Entries()[:2]).To(Equal(r.Entries()))
+		var removed []currantturn.BackendID
+		for _, e := range other.Entries()[2:] {
+			Expect(e.Gone).NotTo(BeZero())
+			removed = append(removed, e.ID)
+		}
+		Expect(removed).To(Equal([]currantturn.BackendID{"s", "t"}))
+	})
+
+	It("adds the removed entries of another roster that it has never had", func() {
+		r := roster.New()
+		r.Replace(start, []currantturn.Registration{active, draining}, start)
+		r.Remove(start, "d", start)
+		other := roster.New()
+		other.AdoptGone(r.Entries())
+		Expect(other.Entries()).To(HaveLen(1))
+		Expect(other.Entries()[0].ID).To(Equal(currantturn.BackendID("d")))
+		other.Put(currantturn.Registration{ID: "d", State: currantturn.BackendActive}) // registered again
+		other.AdoptGone(r.Entries())
+		Expect(other.Entries()[0].Placeable()).To(BeTrue())
 	})
 })
--- /dev/null
+++ b/internal/state/routehistory/doc.go
@@ -0,0 +1,3 @@
+// Package routehistory records which services routes used to lead to, since flows
+// that were placed then may still be open.
+package routehistory
