Leave searches of slow links to balancers with fast ones

Cause: since agents no longer take their backend server's start from others, a search after a restart of everything sends the packet itself to every unsure agent, 13 kB a flow at 52 agents.

Change: a balancer forwards packets of flows without a known holder to one of the balancers whose link is at least four times as fast, chosen by rendezvous hashing of the flow. A packet that comes again was not delivered, and is searched for by the balancer itself. Heartbeats say that their sender takes searches, so that an older process is not sent any.

--- a/internal/coordination/flowbalancer/entry.go
+++ b/internal/coordination/flowbalancer/entry.go
@@ -14,6 +14,7 @@
 	placing   progress = "placing"   // the opening packet awaits the backend server's answer
 	known     progress = "known"     // the holder is recorded
 	searching progress = "searching" // agents are searched for the holder
+	delegated progress = "delegated" // another balancer searches for the holder
 )
 
 // searchScope says which agents a search has reached so far.
@@ -41,6 +42,9 @@
 	lastActive    time.Time               // last packet or change of the state
 	closedAt      time.Time               // the caller's first closing or reset packet
 	acked         uint32                  // what the caller's last packet acknowledged, for a reset
+	// delegatedSequence is the sequence number of the last data that another balancer
+	// was left to deliver.
+	delegatedSequence uint32
 }
 
 // expired reports whether the flow has been idle for so long that it is forgotten.
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -11,14 +11,16 @@
 	"github.com/currantturn/currantturn/internal/event"
 )
 
-// Route processes a packet from a caller, or one that the agent at from returned.
+// Route processes a packet from a caller, one that another balancer at from delegated,
+// or one that the agent at from returned.
 func (b *Balancer) Route(now time.Time, from netip.AddrPort, env *currantturn.Envelope, out *currantturn.Effects) {
 	p := b.plan.Load()
 	if p == nil || len(p.placeable) == 0 {
 		b.bufferPacket(&env.Packet)
 		return
 	}
-	if from.IsValid() {
+	fromBalancer := from.IsValid() && env.Intent == currantturn.IntentRoute
+	if from.IsValid() && !fromBalancer {
 		b.handleReturned(now, p, from, env, out)
 		return
 	}
@@ -28,7 +30,7 @@
 		b.sendReset(&env.Packet, "no route", out)
 		return
 	}
-	b.forward(now, p, route, &env.Packet, out)
+	b.forward(now, p, route, &env.Packet, !fromBalancer, out)
 }
 
 // bufferPacket keeps a packet until a configuration with placeable backend servers is
@@ -41,9 +43,10 @@
 	}
 }
 
-// forward sends a caller's packet to its flow's backend server, or places the flow.
+// forward sends a caller's packet to its flow's backend server, or places the flow. It
+// may leave a search for the backend server to another balancer if mayDelegate is set.
 func (b *Balancer) forward(
-	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, out *currantturn.Effects,
+	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, mayDelegate bool, out *currantturn.Effects,
 ) {
 	stored := b.flows.Update(packet.Flow, func(e *entry) *entry {
 		opening := packet.Mark == currantturn.MarkOpening
@@ -57,12 +60,14 @@
 				e.closedAt = now
 			}
 		case currantturn.MarkOpening:
-			if e.progress == "" || e.progress == searching {
+			if e.progress == "" || e.progress == searching || e.progress == delegated {
 				b.place(now, p, route, packet, e, out)
 				return b.dropIfUndecided(e)
 			}
 		}
-		b.forwardToHolder(now, p, route, packet, e, out)
+		if e.holder != nil || !mayDelegate || !b.delegate(packet, e, out) {
+			b.forwardToHolder(now, p, route, packet, e, out)
+		}
 		return b.dropIfUndecided(e)
 	})
 	if !stored {
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -23,6 +23,9 @@
 	// minRecordGain is how much further back a peer's record of removals has to reach
 	// to be pulled.
 	minRecordGain = 5 * time.Second
+	// delegateSpeedup is how many times faster a balancer's link has to be for others to
+	// leave searches to it; the packets pass both links.
+	delegateSpeedup = 4
 	// lapseGrace is how long after an outage of the store a registration may be
 	// missing although its backend server runs: about two seconds according to the
 	// platform.
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -22,6 +22,7 @@
 	Changed []roster.Entry `cbor:"7,keyasint,omitempty"`
 	// RecordedMS is how far back the sender's record of removals reaches.
 	RecordedMS uint32 `cbor:"8,keyasint,omitempty"`
+	Searches   bool   `cbor:"9,keyasint,omitempty"` // whether the sender takes searches from other balancers
 }
 
 // Kind returns the kind of the message on the wire.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -24,6 +24,7 @@
 type peer struct {
 	lastReceived time.Time // when its last heartbeat arrived
 	capacity     float64
+	searches     bool // whether it takes searches from other balancers
 }
 
 // isWatcher reports whether this balancer is one of the watchers, which are the
@@ -55,7 +56,7 @@
 func (f *Feed) HandleHeartbeat(now time.Time, from netip.AddrPort, h Heartbeat) Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity}
+	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity, searches: h.Searches}
 	for _, p := range h.Peers {
 		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
 			f.peers[p] = peer{lastReceived: now.Add(-peerTimeout)} // gets heartbeats but is not alive yet
@@ -130,6 +131,20 @@
 	out.Event(number, event.F("peers", f.countAlive(now)), event.F("age", now.Sub(f.confirmedAt)))
 }
 
+// Delegates returns the balancers that are alive and whose links are so much faster
+// that this balancer leaves searches to them.
+func (f *Feed) Delegates(now time.Time) (all []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr, p := range f.peers {
+		if p.searches && now.Sub(p.lastReceived) < peerTimeout && p.capacity >= delegateSpeedup*f.opts.Capacity {
+			all = append(all, addr)
+		}
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	return all
+}
+
 // countAlive counts the peers whose last heartbeat is recent.
 func (f *Feed) countAlive(now time.Time) (n int) {
 	for _, p := range f.peers {
@@ -165,7 +180,7 @@
 		Revision: f.state.Revision, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
 		Peers: receivers[:min(len(receivers), maxHeartbeatPeers)], Since: f.changedSince, Changed: f.changed,
 	}
-	h.RecordedMS = f.recordedMS(now)
+	h.RecordedMS, h.Searches = f.recordedMS(now), true
 	h.AgeMS = uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds())
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
 		out.Send(addr, h)
