Let agents forward search packets in their failure domain, and batch denials

Change: - A balancer sends the packet to one of the unsure agents of each failure domain with the addresses of the others; that agent forwards it, and each replies to the balancer. Replies to queries say whether an agent forwards, so that an older one is not asked to. Flows for which the link has no capacity stay queued. - An agent denies searched flows in batches, in place of returning the packet. - An agent that has delivered a packet of an unknown flow confirms the flow to the balancer as soon as its backend server answers.

The specs of an agent's denials now expect the batch.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -1,7 +1,9 @@
 package flowagent
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +53,10 @@
 	lastRetry          time.Time // when an unresponsive backend server was last sent an opening packet
 	sweepNumber        int       // number of the last sweep of the flow table
 	slots              int       // of the backend server, 0 if unknown
-	backlog            backlog.Backlog
+	// denials are the searched flows that are not held here, for the next message to
+	// each balancer.
+	denials map[netip.AddrPort]relay.Flows
+	backlog backlog.Backlog
 }
 
 // counts are the running totals that Counters returns.
@@ -88,6 +93,7 @@
 		opts:          opts,
 		flows:         shard.New[currantturn.FlowKey, flowRecord](opts.MaxFlows),
 		balancers:     make(map[netip.AddrPort]*reportReceiver),
+		denials:       make(map[netip.AddrPort]relay.Flows),
 		reportLimiter: rate.NewLimiter(reportsPerSecond, maxBalancers),
 		waitTimes:     metric.NewHistogram(),
 		openTimes:     metric.NewHistogram(),
@@ -120,12 +126,12 @@
 	}
 }
 
-// Pending reports whether ticks are needed: a request waits or is in progress, or
-// an opening packet awaits its answer.
+// Pending reports whether ticks are needed: a request waits or is in progress, an
+// opening packet awaits its answer, or denials are to be sent.
 func (a *Agent) Pending() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.openDeadlines.Len()+a.backlog.Len()+a.tracker.inProgress() > 0
+	return a.openDeadlines.Len()+a.backlog.Len()+a.tracker.inProgress()+len(a.denials) > 0
 }
 
 // recordsComplete reports whether a flow without a record is certainly not held
@@ -153,12 +159,12 @@
 // the acknowledgement number of each flow's packet, which shows whether the caller
 // accepted this backend server's answer.
 func (a *Agent) answerQuery(now time.Time, flows relay.Flows) relay.QueryReply {
-	reply := relay.QueryReply{Revision: a.revision.Load()}
+	reply := relay.QueryReply{Revision: a.revision.Load(), Forwards: true}
 	for key, acked := range flows.All() {
 		list := &reply.Held
 		a.flows.Update(key, func(r *flowRecord) *flowRecord {
 			switch {
-			case r == nil && !a.recordsComplete(now):
+			case r == nil && !a.recordsComplete(now), r != nil && r.progress == unconfirmed:
 				list = &reply.Unsure
 			case r == nil || r.progress == opening || !r.acknowledges(acked):
 				list = &reply.Absent
@@ -170,6 +176,32 @@
 	return reply
 }
 
+// queueDenial adds a searched flow that is not held here to the next message to the
+// balancer that searches, which is sent when it is full or with the next tick. After
+// a restart of all processes every agent is sent packets of every flow.
+func (a *Agent) queueDenial(to netip.AddrPort, flow currantturn.FlowKey, out *currantturn.Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	flows := a.denials[to].Append(flow, 0)
+	if flows.Len() == relay.MaxFlows {
+		out.Send(to, relay.QueryReply{Absent: flows, Revision: a.revision.Load()})
+		flows = nil
+	}
+	a.denials[to] = flows
+}
+
+// sendDenials sends the queued denials.
+func (a *Agent) sendDenials(out *currantturn.Effects) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, to := range slices.SortedFunc(maps.Keys(a.denials), netip.AddrPort.Compare) {
+		if flows := a.denials[to]; flows.Len() > 0 {
+			out.Send(to, relay.QueryReply{Absent: flows, Revision: a.revision.Load()})
+		}
+	}
+	clear(a.denials)
+}
+
 // Configure does nothing: the agent derives its state from packets.
 func (a *Agent) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
 
@@ -193,6 +225,7 @@
 		return false
 	})
 	a.releaseRequests(now, out)
+	a.sendDenials(out)
 	a.sendReports(now, out)
 }
 
--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -112,6 +112,18 @@
 	return all
 }
 
+// expectDenial checks that the next tick sends the balancer a denial of the caller's
+// flow, and nothing else of it has been sent.
+func (t *testAgent) expectDenial() {
+	GinkgoHelper()
+	Expect(t.out.Forwards).To(BeEmpty())
+	t.tick(10 * time.Millisecond)
+	Expect(t.out.Sends).NotTo(BeEmpty())
+	Expect(t.out.Sends[0].To).To(Equal(balancer))
+	reply := t.out.Sends[0].Message.(relay.QueryReply)
+	Expect(reply.Absent).To(Equal(relay.Flows{}.Append(currantturn.FlowKey{Caller: caller, Service: service}, 0)))
+}
+
 // otherCaller returns the address of the n-th other caller.
 func otherCaller(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 1, n}), 40000)
@@ -145,11 +157,14 @@
 		t := newTestAgent(true)
 		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
 		Expect(t.out.Deliveries).To(BeEmpty())
-		Expect(t.out.Sends[0].Message).To(BeAssignableToTypeOf(relay.Absent{}))
+		t.expectDenial()
 		t = newTestAgent(false)
 		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
 		Expect(t.out.Deliveries).To(HaveLen(1))
 		t.bounce(caller, ack, 101, 501, 10)
+		t.expectDenial()
+		t.route(caller, currantturn.IntentHeld, ack, 101, 501, 10)
+		t.bounce(caller, ack, 101, 501, 10)
 		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentAbsent}))
 		t.now = t.now.Add(2 * time.Minute)
 		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
@@ -184,6 +199,36 @@
 		Expect(t.out.Sends[0].Message).To(BeAssignableToTypeOf(relay.Held{}))
 	})
 
+	// After a restart of all processes a balancer would otherwise search on until the
+	// caller's next packet, which may be a second later.
+	It("notifies the balancer of a packet once the backend server has shown that it holds the older flow", func() {
+		t := newTestAgent(false)
+		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
+		Expect(t.out.Deliveries).To(HaveLen(1))
+		Expect(t.out.Sends).To(BeEmpty())
+		t.answer(caller, ack, 501, 111, 0)
+		Expect(t.out.Sends).To(HaveLen(1))
+		Expect(t.out.Sends[0].To).To(Equal(balancer))
+		Expect(t.out.Sends[0].Message).To(BeAssignableToTypeOf(relay.Held{}))
+		Expect(t.agent.Counters().Flows).To(Equal(1))
+		t.answer(caller, ack, 501, 111, 100)
+		Expect(t.out.Sends).To(BeEmpty())
+	})
+
+	It("forgets an older flow that the backend server bounces, or does not answer", func() {
+		t := newTestAgent(false)
+		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
+		t.bounce(caller, ack, 101, 501, 10)
+		t.expectDenial()
+		Expect(t.agent.Counters().Flows).To(BeZero())
+		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 10)
+		t.now = t.now.Add(4 * time.Second)
+		for range 100 { // each tick sweeps a part of the table
+			t.tick(10 * time.Millisecond)
+		}
+		Expect(t.agent.Counters().Flows).To(BeZero())
+	})
+
 	It("returns packets for another service", func() {
 		t := newTestAgent(true)
 		t.agent.SetService("reports")
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -27,6 +27,11 @@
 			r = &flowRecord{progress: open, lastSeen: now}
 			a.tracker.addOpenFlows(1)
 		}
+		if r.progress == unconfirmed {
+			r.progress = open
+			a.tracker.addOpenFlows(1)
+			out.Send(r.balancer, relay.Held{Flow: relay.FlowOf(p.Flow)})
+		}
 		a.updateFromBackend(now, p, r, out)
 		return r
 	})
@@ -70,13 +75,16 @@
 	a.flows.Update(p.Flow, func(r *flowRecord) *flowRecord {
 		switch {
 		case p.Mark == currantturn.MarkOpening:
-			if r != nil && r.progress != opening {
+			if r != nil && r.progress != opening && r.progress != unconfirmed {
 				return r
 			}
 			a.counts.declined.Add(1)
 			a.returnToBalancer(from, currantturn.IntentDeclined, p.Payload, out)
 			return nil
-		case r == nil:
+		case r != nil && r.progress == unconfirmed && r.searched:
+			a.queueDenial(r.balancer, p.Flow, out)
+			return nil
+		case r == nil || r.progress == unconfirmed:
 			a.counts.returned.Add(1)
 			a.returnToBalancer(from, currantturn.IntentAbsent, p.Payload, out)
 			return nil
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -21,6 +21,9 @@
 	// closedFlowLifetime is how long the record of a closed flow is kept for late
 	// packets.
 	closedFlowLifetime = 5 * time.Second
+	// unconfirmedLifetime is how long a flow stays unconfirmed; a backend server answers
+	// or bounces its packets within a service time.
+	unconfirmedLifetime = 3 * time.Second
 	// requestTimeout is how long an unanswered request occupies a slot: several
 	// times the duration of the longest kind of request, for a slowed backend server.
 	requestTimeout = 2 * time.Second
--- a/internal/coordination/flowagent/record.go
+++ b/internal/coordination/flowagent/record.go
@@ -11,16 +11,18 @@
 type progress string
 
 const (
-	opening  progress = "opening"  // the backend server has not answered the opening packet
-	answered progress = "answered" // it answered; the caller may still accept another backend server's answer
-	open     progress = "open"     // the caller acknowledged the answer, or the flow is older than the agent
-	closed   progress = "closed"   // the record is kept for late packets
+	unconfirmed progress = "unconfirmed" // the flow may be older than the agent; the backend server has not answered or bounced its packets
+	opening     progress = "opening"     // the backend server has not answered the opening packet
+	answered    progress = "answered"    // it answered; the caller may still accept another backend server's answer
+	open        progress = "open"        // the caller acknowledged the answer, or the flow is older than the agent
+	closed      progress = "closed"      // the record is kept for late packets
 )
 
 // flowRecord is the state of one flow at the agent.
 type flowRecord struct {
 	progress          progress
-	balancer          netip.AddrPort // that sent the opening packet, or the packet of a waiting request
+	balancer          netip.AddrPort // that sent the opening packet, the packet of a waiting request, or an unconfirmed one
+	searched          bool           // true while unconfirmed if the packet was sent to search the holder
 	openingPacket     []byte         // copy of the opening packet until it is answered or returned
 	openingSent       time.Time      // when the opening packet was delivered
 	firstSequence     uint32         // sequence number of the backend server's answer to the opening packet
@@ -62,8 +64,11 @@
 
 // expired reports whether the record can be deleted.
 func (r *flowRecord) expired(now time.Time) bool {
-	if r.progress == closed {
+	switch r.progress {
+	case closed:
 		return now.Sub(r.lastSeen) > closedFlowLifetime
+	case unconfirmed:
+		return now.Sub(r.lastSeen) > unconfirmedLifetime
 	}
 	return now.Sub(r.lastSeen) > flowLifetime
 }
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -53,13 +53,15 @@
 	a.deliver(in)
 }
 
-// startIfSlotFree takes a slot if one is free and no request is waiting. With an
-// unknown number of slots it always succeeds.
+// startIfSlotFree takes a slot if one is free and no request is waiting; slots is their
+// number, 0 if the packet does not tell it. With an unknown number it always succeeds.
 func (a *Agent) startIfSlotFree(slots int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.slots = slots
-	if slots > 0 && (a.backlog.Len() > 0 || a.tracker.inProgress() >= slots) {
+	if slots > 0 {
+		a.slots = slots
+	}
+	if a.slots > 0 && (a.backlog.Len() > 0 || a.tracker.inProgress() >= a.slots) {
 		return false
 	}
 	a.tracker.requestStarted()
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -22,8 +22,12 @@
 
 // Route delivers, stores or refuses a caller's packet received from a balancer.
 func (a *Agent) Route(now time.Time, from netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
+	if e.Balancer.IsValid() { // forwarded by another agent
+		from = netip.AddrPortFrom(e.Balancer.Addr(), a.opts.LinkPort)
+	}
 	a.recordBalancer(now, from)
 	a.updateRevision(e.Revision)
+	a.forwardSearch(from, e, out)
 	in := &inboundPacket{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
 		a.counts.foreign.Add(1)
@@ -43,6 +47,19 @@
 	}
 }
 
+// forwardSearch forwards a search to its other recipients, which reply to the balancer.
+func (a *Agent) forwardSearch(balancer netip.AddrPort, e *currantturn.Envelope, out *currantturn.Effects) {
+	if e.Intent != currantturn.IntentSearch {
+		return
+	}
+	forwarded := *e
+	forwarded.Balancer, forwarded.Recipients = balancer, nil
+	forwarded.Demand.Slots = 0 // those of this backend server
+	for _, r := range e.Recipients {
+		out.Forwards = append(out.Forwards, currantturn.Forward{To: netip.AddrPortFrom(r, a.opts.LinkPort), Envelope: forwarded})
+	}
+}
+
 // updateRevision stores the newest revision received from balancers. Replies to
 // balancers carry it: with an older one, a balancer may lack the backend server that
 // holds the flow.
@@ -61,7 +78,7 @@
 	switch {
 	case in.intent == currantturn.IntentSearch:
 		return r
-	case r != nil && r.progress != closed:
+	case r != nil && r.progress != closed && r.progress != unconfirmed:
 		r.lastSeen = in.now
 		a.deliver(in)
 		return r
@@ -90,7 +107,12 @@
 		// The flow may be older than this process. The backend server bounces the
 		// packet if it does not hold the flow.
 		a.deliver(in)
-		return nil
+		return &flowRecord{progress: unconfirmed, balancer: in.from, searched: in.intent == currantturn.IntentSearch, lastSeen: in.now}
+	}
+	if r.progress == unconfirmed {
+		r.balancer, r.searched, r.lastSeen = in.from, in.intent == currantturn.IntentSearch, in.now
+		a.deliver(in)
+		return r
 	}
 	if r.progress == opening || !r.acknowledges(in.packet.Acked) && in.packet.Mark != currantturn.MarkReset {
 		a.refuse(in)
@@ -135,9 +157,7 @@
 func (a *Agent) refuse(in *inboundPacket) {
 	switch {
 	case in.intent == currantturn.IntentSearch:
-		in.out.Send(in.from, relay.Absent{
-			Flow: relay.FlowOf(in.packet.Flow), Revision: a.revision.Load(),
-		})
+		a.queueDenial(in.from, in.packet.Flow, in.out)
 	case in.packet.Mark == currantturn.MarkOpening:
 		a.counts.declined.Add(1)
 		a.returnToBalancer(in.from, currantturn.IntentDeclined, in.packet.Payload, in.out)
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -49,7 +49,8 @@
 	// queries are the flows of the next query to each agent.
 	queries       map[netip.AddrPort]relay.Flows
 	queriesSentAt time.Time
-	buffered      [][]byte // packets that arrived before a usable configuration
+	unsure        []currantturn.FlowKey // flows with unsure targets, oldest first
+	buffered      [][]byte              // packets that arrived before a usable configuration
 	// deferred are searches that wait for a newer published state.
 	deferred    []currantturn.FlowKey
 	sweepNumber int // number of the last sweep of the flow table
@@ -216,7 +217,7 @@
 			return true
 		}
 	}
-	return b.searches.Len()+b.rechecks.Len()+len(b.queries) > 0
+	return b.searches.Len()+b.rechecks.Len()+len(b.queries)+len(b.unsure) > 0
 }
 
 // Configure does nothing: this balancer uses published states.
@@ -243,6 +244,7 @@
 	for _, key := range rechecks {
 		b.recheck(now, key, out)
 	}
+	b.sendToUnsure(now, out)
 	b.sendQueries(now, out)
 	b.probe(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -54,6 +54,11 @@
 	// their share of the link: less than a new flow waits for its backend server's
 	// answer.
 	searchBurst = 50 * time.Millisecond
+	// recipientBytes is the size of a recipient in a search that agents forward.
+	recipientBytes = 4
+	// maxUnsureFlows limits the flows that wait for the link to send their packet to
+	// unsure agents.
+	maxUnsureFlows = 1 << 16
 	// packetOverhead is the number of bytes added to a packet that is sent to an
 	// agent: IP and UDP headers, and the envelope with a service name.
 	packetOverhead = 64
--- a/internal/coordination/flowbalancer/entry.go
+++ b/internal/coordination/flowbalancer/entry.go
@@ -36,6 +36,7 @@
 	acceptDue     time.Time               // when the opening packet is sent to another backend server
 	searchStarted time.Time
 	deniedBy      []currantturn.BackendID // backend servers whose agents denied holding the flow
+	unsure        []*target               // targets that are to be sent the pending packet, since only that shows whether they hold the flow
 	pendingPacket []byte                  // packet to deliver when the search ends
 	scope         searchScope             // how far the search has gone
 	minRevision   uint64                  // newest state that a denying agent reported; denials are no proof until it is in force
@@ -68,7 +69,7 @@
 // setHolder records the flow's holder, which ends a placement or search.
 func (e *entry) setHolder(now time.Time, t *target) {
 	e.progress, e.holder, e.openingPacket, e.deniedBy, e.lastActive = known, t, nil, nil, now
-	e.pendingPacket, e.scope, e.tried = nil, scopeNone, nil
+	e.pendingPacket, e.unsure, e.scope, e.tried = nil, nil, scopeNone, nil
 }
 
 // recordDenial records that a backend server does not hold the flow. The revision is
@@ -95,3 +96,13 @@
 	}
 	return true
 }
+
+// notRuledOut returns those of the backend servers that may be the flow's holder.
+func (e *entry) notRuledOut(all []*target, now, lastReceived time.Time) (possible []*target) {
+	for _, t := range all {
+		if !e.ruledOut(t, now, lastReceived) {
+			possible = append(possible, t)
+		}
+	}
+	return possible
+}
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -248,8 +248,9 @@
 	})
 }
 
-// handleQueryReply processes an agent's reply to a query. For flows that the agent is
-// unsure of, it sends the pending packet, which shows whether they are held.
+// handleQueryReply processes an agent's reply to a query. Of flows that the agent is
+// unsure of, the next tick sends it the pending packet, which shows whether they are
+// held.
 func (b *Balancer) handleQueryReply(now time.Time, m relay.QueryReply, t *target, out *currantturn.Effects) {
 	for key := range m.Held.All() {
 		b.handleHeld(now, key, t, false, out)
@@ -257,10 +258,14 @@
 	for key := range m.Absent.All() {
 		b.handleAbsent(now, key, t, m.Revision, out)
 	}
+	t.setForwards(m.Forwards)
 	for key := range m.Unsure.All() {
-		b.updateSearch(key, func(_ *plan, route *currantturn.FlowRoute, e *entry) {
-			if len(e.pendingPacket) > 0 && b.searchLimiter.allow(now, linkBytes(e.pendingPacket)) {
-				b.sendStored(now, t, route, currantturn.IntentSearch, e.pendingPacket, out)
+		b.updateSearch(key, func(_ *plan, _ *currantturn.FlowRoute, e *entry) {
+			if len(e.pendingPacket) == 0 || slices.Contains(e.unsure, t) {
+				return
+			}
+			if e.unsure = append(e.unsure, t); len(e.unsure) == 1 {
+				b.queueUnsure(key)
 			}
 		})
 	}
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -76,6 +76,7 @@
 
 	violations  []string                        // violated rules, as messages
 	eventCounts map[int]int                     // by event number
+	bytesSent   map[netip.Addr]int              // by processes to others, without IP and UDP headers
 	searchedFor map[currantturn.ServiceName]int // queries and search packets, by the service of the agent
 }
 
@@ -109,7 +110,7 @@
 	sim := &simulation{
 		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		backends: map[currantturn.BackendID]*backendVM{}, callers: map[netip.AddrPort]*caller{},
-		eventCounts: map[int]int{}, searchedFor: map[currantturn.ServiceName]int{},
+		eventCounts: map[int]int{}, searchedFor: map[currantturn.ServiceName]int{}, bytesSent: map[netip.Addr]int{},
 		routing: &currantturn.Routing{Version: 1, Routes: []currantturn.FlowRoute{{
 			Address: serviceAddress, Shares: []currantturn.Share{{Service: "verify", Weight: 1}},
 			LatencyObjective: 120 * time.Millisecond, Timeout: 800 * time.Millisecond,
@@ -288,6 +289,7 @@
 
 // transmit sends a frame from one VM to another, unless it is dropped.
 func (sim *simulation) transmit(from netip.Addr, to netip.AddrPort, frame []byte) {
+	sim.bytesSent[from] += len(frame)
 	if sim.drop != nil && sim.drop(from, to.Addr()) {
 		return
 	}
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -26,6 +26,7 @@
 	avoidUntil         time.Time
 	warmUpUntil        time.Time
 	unanswered         unansweredQueries // queries to the agent
+	forwards           bool              // whether the agent forwards search packets
 	loggedSlow         bool              // whether the last event reported it as slow
 	loggedUnresponsive bool              // whether the last event reported the agent as unresponsive
 }
@@ -184,6 +185,7 @@
 	defer previous.mu.Unlock()
 	t.load, t.reportedAt, t.sentSinceReport, t.avoidUntil = previous.load, previous.reportedAt, previous.sentSinceReport, previous.avoidUntil
 	t.unanswered, t.loggedSlow, t.loggedUnresponsive = previous.unanswered, previous.loggedSlow, previous.loggedUnresponsive
+	t.forwards = previous.forwards
 	if previous.entry.WarmUpRemaining == e.WarmUpRemaining {
 		t.warmUpUntil = previous.warmUpUntil // the published warm-up is unchanged, so it does not start again
 	}
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -17,6 +18,7 @@
 const (
 	typePacket  = 1
 	typeMessage = 2
+	typeSpread  = 3 // a packet frame that is forwarded by an agent, or to be forwarded, after a prefix
 
 	intentOffset      = 1
 	slotsOffset       = 2
@@ -27,8 +29,16 @@
 	reservedOffset    = 16 // 4 bytes, sent as 0 and not read
 	nameLengthOffset  = 20
 	packetHeaderBytes = 21
-	maxUint8          = 1<<8 - 1
-	maxUint16         = 1<<16 - 1
+
+	// Layout of the prefix: type, number of recipients, the balancer's IPv4 address (zero
+	// if it is the sender), and those of the recipients.
+	recipientCountOffset = 1
+	balancerOffset       = 2
+	recipientsOffset     = 6
+	addressBytes         = 4
+
+	maxUint8  = 1<<8 - 1
+	maxUint16 = 1<<16 - 1
 )
 
 // intents lists the intents; an intent's code on the wire is its index, so only
@@ -38,9 +48,15 @@
 	currantturn.IntentSearch, currantturn.IntentAbsent, currantturn.IntentDeclined,
 }
 
+// MaxRecipients is the largest number of recipients of one search.
+const MaxRecipients = 64
+
 // AppendPacket appends the frame of an enveloped packet to dst; values outside
 // the range of their field are clamped.
 func AppendPacket(dst []byte, e *currantturn.Envelope) []byte {
+	if len(e.Recipients) > 0 || e.Balancer.IsValid() {
+		dst = appendPrefix(dst, e)
+	}
 	name := e.Service[:min(len(e.Service), maxUint8)]
 	dst = append(
 		dst, typePacket, intentCode(e.Intent),
@@ -54,6 +70,39 @@
 	return append(dst, e.Packet.Payload...)
 }
 
+// appendPrefix appends the prefix of a frame that agents forward.
+func appendPrefix(dst []byte, e *currantturn.Envelope) []byte {
+	recipients := e.Recipients[:min(len(e.Recipients), MaxRecipients)]
+	dst = append(dst, typeSpread, byte(len(recipients)))
+	var balancer [addressBytes]byte
+	if e.Balancer.IsValid() {
+		balancer = e.Balancer.Addr().As4()
+	}
+	dst = append(dst, balancer[:]...)
+	for _, r := range recipients {
+		ip := r.As4()
+		dst = append(dst, ip[:]...)
+	}
+	return dst
+}
+
+// decodePrefix decodes the prefix of a frame and returns the rest.
+func decodePrefix(frame []byte, e *currantturn.Envelope) (rest []byte, err error) {
+	if len(frame) < recipientsOffset || frame[recipientCountOffset] > MaxRecipients ||
+		len(frame) < recipientsOffset+int(frame[recipientCountOffset])*addressBytes {
+		return nil, eris.Wrapf(currantturn.ErrMalformed, "prefix of a frame of %d bytes", len(frame))
+	}
+	if balancer := netip.AddrFrom4([addressBytes]byte(frame[balancerOffset:])); !balancer.IsUnspecified() {
+		e.Balancer = netip.AddrPortFrom(balancer, 0)
+	}
+	rest = frame[recipientsOffset:]
+	for range frame[recipientCountOffset] {
+		e.Recipients = append(e.Recipients, netip.AddrFrom4([addressBytes]byte(rest)))
+		rest = rest[addressBytes:]
+	}
+	return rest, nil
+}
+
 // clampedMS returns d in milliseconds, clamped to the range of a 2-byte field.
 func clampedMS(d time.Duration) uint16 {
 	return uint16(min(max(d.Milliseconds(), 0), maxUint16))
@@ -70,11 +119,21 @@
 
 // Decode returns the control message in a frame, or decodes its packet into e
 // and returns nil. The service name ownService is reused without an allocation,
-// and the payload aliases frame. The packet's header is left to its PacketCodec.
+// and the payload aliases frame. The packet's header is left to its PacketCodec. The
+// port of the envelope's Balancer is not on the wire.
 func Decode(frame []byte, ownService currantturn.ServiceName, e *currantturn.Envelope) (currantturn.Message, error) {
 	if len(frame) == 0 {
 		return nil, eris.Wrap(currantturn.ErrMalformed, "empty frame")
 	}
+	if frame[0] == typeSpread {
+		var err error
+		if frame, err = decodePrefix(frame, e); err != nil {
+			return nil, err
+		}
+		if len(frame) == 0 || frame[0] != typePacket {
+			return nil, eris.Wrap(currantturn.ErrMalformed, "prefix without a packet")
+		}
+	}
 	switch frame[0] {
 	case typeMessage:
 		return message.Decode(frame[1:])
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -36,6 +36,24 @@
 		Entry(nil, currantturn.IntentAbsent), Entry(nil, currantturn.IntentDeclined),
 	)
 
+	It("carries the recipients of a search, and the balancer that it is forwarded for", func() {
+		sent := currantturn.Envelope{
+			Intent: currantturn.IntentSearch, Service: "verify", Packet: currantturn.Packet{Payload: []byte("packet")},
+			Recipients: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")},
+		}
+		var got currantturn.Envelope
+		_, err := relay.Decode(relay.AppendPacket(nil, &sent), "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+		sent.Recipients, sent.Balancer = nil, netip.MustParseAddrPort("10.3.0.1:7120")
+		got = currantturn.Envelope{}
+		_, err = relay.Decode(relay.AppendPacket(nil, &sent), "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Balancer.Addr()).To(Equal(sent.Balancer.Addr()))
+		Expect(got.Recipients).To(BeEmpty())
+		Expect(got.Packet.Payload).To(Equal(sent.Packet.Payload))
+	})
+
 	It("clamps numbers that do not fit into their field", func() {
 		sent := currantturn.Envelope{Intent: currantturn.IntentHeld, Demand: currantturn.Demand{Slots: 1000, Timeout: time.Hour}}
 		var got currantturn.Envelope
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -66,6 +66,8 @@
 	// a packet of the flow shows whether the backend server holds it.
 	Unsure   Flows  `cbor:"3,keyasint,omitempty"`
 	Revision uint64 `cbor:"4,keyasint"` // newest revision of the published state that the agent has received
+	// Forwards is true if the agent forwards search packets to other agents.
+	Forwards bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind returns the name of the message kind on the wire.
