Serve open flows while nothing is published

Change: - An agent that receives nothing from any balancer for 300 ms, and whose backend server accepts connections, announces itself to the seeds, at intervals that double up to 10 s. Balancers without a state pull what others were announced. - With announced agents alone a balancer searches them for open flows and resets none. New flows go to agents that hold flows of the same address; without one they are refused after a second. - For 2.5 s after its first state, and after an outage, a balancer counts announced agents without a registration as possible holders, since registrations may have lapsed; they get queries, no packets. - Watchers without a state ask a refusing store six times in the first second.

An announcement carries names of at most 63 bytes, 16,384 agents are kept for 15 s, and the decoder is fuzzed with the other frames.

The specs of a restart without the store failed before.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -25,7 +25,10 @@
 	Backend currantturn.BackendID   // name of the VM, for events
 	// LinkPort is the port of every balancer's link address.
 	LinkPort uint16
-	Started  time.Time // when the process started
+	// Seeds are the link addresses of balancers that announcements are sent to.
+	Seeds         []netip.AddrPort
+	FailureDomain currantturn.FailureDomain
+	Started       time.Time // when the process started
 	// Fresh is true if no flow can be older than this process.
 	Fresh    bool
 	MaxFlows int // limit on tracked flows; 0 means DefaultMaxFlows
@@ -48,6 +51,7 @@
 	openDeadlines      schedule.List[currantturn.FlowKey] // answer deadlines of delivered opening packets
 	balancers          map[netip.AddrPort]*reportReceiver // by link address
 	reportLimiter      *rate.Limiter
+	announcer          announcer
 	unansweredOpenings int       // consecutive opening packets without an answer
 	unresponsiveSince  time.Time // when the backend server became unresponsive; zero if it is not
 	lastRetry          time.Time // when an unresponsive backend server was last sent an opening packet
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -43,6 +43,13 @@
 	balancerTimeout = 5 * time.Second
 	// maxBalancers limits the balancers that reports are sent to.
 	maxBalancers = 64
+	// announceDelay is how long nothing has to arrive from any balancer before the agent
+	// announces itself to the seeds. With traffic, packets arrive all the time.
+	announceDelay = 300 * time.Millisecond
+	// minAnnounceInterval and maxAnnounceInterval bound the interval of announcements,
+	// which doubles.
+	minAnnounceInterval = 200 * time.Millisecond
+	maxAnnounceInterval = 10 * time.Second
 	// serviceTimeWeight is the weight of a new sample in the moving average of
 	// service times.
 	serviceTimeWeight = 0.05
--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -31,6 +31,7 @@
 		a.balancers[from] = receiver
 	}
 	receiver.lastReceived = now
+	a.announcer.recordReceived(now)
 }
 
 // currentLoad returns the current load, with the length of the backlog and whether
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -50,7 +50,11 @@
 	queries       map[netip.AddrPort]relay.Flows
 	queriesSentAt time.Time
 	unsure        []currantturn.FlowKey // flows with unsure targets, oldest first
-	buffered      [][]byte              // packets that arrived before a usable configuration
+	buffered      []bufferedPacket
+	// learnedHolders are, while nothing is published, the targets that hold flows of a
+	// service address.
+	learnedHolders map[netip.AddrPort][]*target
+	holdersLearned bool // since the last tick
 	// deferred are searches that wait for a newer published state.
 	deferred    []currantturn.FlowKey
 	sweepNumber int // number of the last sweep of the flow table
@@ -89,7 +93,8 @@
 		flows:         shard.New[currantturn.FlowKey, entry](opts.MaxFlows),
 		rng:           rand.New(rand.NewPCG(opts.Seed, 11)),
 
-		queries: make(map[netip.AddrPort]relay.Flows),
+		queries:        make(map[netip.AddrPort]relay.Flows),
+		learnedHolders: make(map[netip.AddrPort][]*target),
 	}
 }
 
@@ -107,7 +112,7 @@
 // Ready reports whether the configuration in force has placeable backend servers.
 func (b *Balancer) Ready() bool {
 	p := b.plan.Load()
-	return p != nil && len(p.placeable) > 0
+	return p != nil && len(p.placeable) > 0 // none in a provisional plan
 }
 
 // Isolated reports whether no agent has answered this balancer's probes for
@@ -137,35 +142,31 @@
 }
 
 // Publish puts a published state in force, unless its configuration is older than the
-// present one. It then resumes deferred searches and routes buffered packets.
+// present one. It then resumes deferred searches and routes buffered packets. A state
+// without a configuration is used for its announced agents alone.
 func (b *Balancer) Publish(now time.Time, s statesync.State, out *currantturn.Effects) {
-	if s.Routing == nil {
-		return
-	}
 	b.mu.Lock()
 	old := b.plan.Load()
-	if old != nil && s.Routing.Version < old.version {
+	if s.Routing == nil && len(s.Announced) == 0 || old != nil && s.RoutingVersion() < old.version {
 		b.mu.Unlock()
 		return
 	}
-	b.plan.Store(newPlan(now, &s, b.opts.AgentPort, old))
-	buffered, deferred := b.buffered, b.deferred
+	p := newPlan(now, &s, b.opts.AgentPort, old)
+	b.plan.Store(p)
+	b.updateLearned(p)
+	deferred := b.deferred
 	b.deferred = nil
-	if b.Ready() {
-		b.buffered = nil
-	}
 	b.mu.Unlock()
-	if !b.Ready() {
+	if p.provisional && (old == nil || !old.provisional) {
+		out.Event(event.AgentsAnnounced, event.F("agents", len(p.targets)))
+	}
+	if !p.provisional && len(p.placeable) == 0 {
 		return
 	}
 	for _, key := range deferred {
 		b.resumeSearch(now, key, out)
 	}
-	for _, raw := range buffered {
-		if p, ok := b.decodeStored(raw); ok {
-			b.Route(now, netip.AddrPort{}, &currantturn.Envelope{Direction: currantturn.ToBackend, Packet: p}, out)
-		}
-	}
+	b.routeBuffered(now, out)
 }
 
 // Handle processes a control message from an agent.
@@ -217,7 +218,7 @@
 			return true
 		}
 	}
-	return b.searches.Len()+b.rechecks.Len()+len(b.queries)+len(b.unsure) > 0
+	return b.searches.Len()+b.rechecks.Len()+len(b.queries)+len(b.unsure)+len(b.buffered) > 0
 }
 
 // Configure does nothing: this balancer uses published states.
@@ -244,6 +245,10 @@
 	for _, key := range rechecks {
 		b.recheck(now, key, out)
 	}
+	if b.takeHoldersLearned() {
+		b.routeBuffered(now, out)
+	}
+	b.refuseBuffered(now, out)
 	b.sendToUnsure(now, out)
 	b.sendQueries(now, out)
 	b.probe(now, out)
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -89,4 +89,9 @@
 	maxDeferredSearches = 4096
 	// maxBufferedPackets limits the packets that wait for a usable configuration.
 	maxBufferedPackets = 512
+	// maxBufferTime is how long an opening packet waits for a usable configuration before
+	// the flow is refused: less than callers wait for an answer.
+	maxBufferTime = time.Second
+	// maxLearnedAddresses limits the service addresses of learnedHolders.
+	maxLearnedAddresses = 4096
 )
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -14,6 +14,9 @@
 type plan struct {
 	version  currantturn.Version
 	revision uint64
+	// provisional is true if nothing is published, so that only announced agents are known:
+	// flows are searched for among them, but not reset.
+	provisional bool
 	// recordedSince is the time since which no removal of a registration, or of a
 	// service from a route, is missing from targets and earlierServices.
 	recordedSince   time.Time
@@ -27,21 +30,25 @@
 
 // newPlan builds a plan and carries the targets' state over from the old one, which
 // may be nil. Of several registrations with one address only the newest is used: the
-// backend servers of the others have ended.
+// backend servers of the others have ended. Announced agents without a registration
+// may hold flows, but get no new ones.
 func newPlan(now time.Time, source *statesync.State, agentPort uint16, old *plan) *plan {
 	p := &plan{
-		version:         source.Routing.Version,
+		version:         source.RoutingVersion(),
 		revision:        source.Revision,
+		provisional:     source.Routing == nil,
 		recordedSince:   now.Add(-source.Recorded()),
-		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute, len(source.Routing.Routes)),
+		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute),
 		earlierServices: make(map[netip.AddrPort][]currantturn.ServiceName),
 		placeable:       make(map[currantturn.ServiceName][]*target),
 		byService:       make(map[currantturn.ServiceName][]*target),
 		byAgent:         make(map[netip.AddrPort]*target),
 	}
-	for i := range source.Routing.Routes {
-		route := &source.Routing.Routes[i]
-		p.routes[route.Address] = route
+	if source.Routing != nil {
+		for i := range source.Routing.Routes {
+			route := &source.Routing.Routes[i]
+			p.routes[route.Address] = route
+		}
 	}
 	for i := range source.Earlier {
 		p.addEarlierService(source.Earlier[i].Address, source.Earlier[i].Service)
@@ -65,9 +72,40 @@
 			p.placeable[t.entry.Service] = append(p.placeable[t.entry.Service], t)
 		}
 	}
+	p.addAnnounced(now, source.Announced, old)
 	return p
 }
 
+// addAnnounced adds the announced agents that no registration refers to.
+func (p *plan) addAnnounced(now time.Time, announced []statesync.Announced, old *plan) {
+	for i := range announced {
+		a := &announced[i]
+		if p.byAgent[a.Agent] != nil {
+			continue
+		}
+		t := newTarget(now, &roster.Entry{
+			Registration: currantturn.Registration{
+				ID: currantturn.BackendID("unregistered at " + a.Agent.Addr().String()), Service: a.Service,
+				FailureDomain: a.FailureDomain, Address: a.Agent,
+			},
+			Gone: now,
+		}, a.Agent, old)
+		t.unregistered = true
+		p.byAgent[a.Agent] = t
+		p.targets = append(p.targets, t)
+		p.byService[a.Service] = append(p.byService[a.Service], t)
+	}
+}
+
+// route returns the route of a service address, or nil. A provisional plan has a route
+// without services for each address.
+func (p *plan) route(address netip.AddrPort) *currantturn.FlowRoute {
+	if p.provisional {
+		return &currantturn.FlowRoute{Address: address}
+	}
+	return p.routes[address]
+}
+
 // supersedes reports whether registration a is used instead of b, which has the same
 // address. One that still exists is preferred to a removed one. Of two removed ones
 // the one removed later is used; of two others the one whose backend server started
@@ -101,7 +139,7 @@
 // routeHolders returns the targets that may hold a flow of the route, as far as it is
 // known which services the route led to.
 func (p *plan) routeHolders(route *currantturn.FlowRoute) []*target {
-	if len(p.targets) <= searchAllLimit {
+	if len(p.targets) <= searchAllLimit || p.provisional {
 		return p.targets
 	}
 	var all []*target
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -15,8 +15,8 @@
 // or one that the agent at from returned.
 func (b *Balancer) Route(now time.Time, from netip.AddrPort, env *currantturn.Envelope, out *currantturn.Effects) {
 	p := b.plan.Load()
-	if p == nil || len(p.placeable) == 0 {
-		b.bufferPacket(&env.Packet)
+	if p == nil || !p.provisional && len(p.placeable) == 0 {
+		b.bufferPacket(now, &env.Packet)
 		return
 	}
 	fromBalancer := from.IsValid() && env.Intent == currantturn.IntentRoute
@@ -24,7 +24,7 @@
 		b.handleReturned(now, p, from, env, out)
 		return
 	}
-	route := p.routes[env.Packet.Flow.Service]
+	route := p.route(env.Packet.Flow.Service)
 	if route == nil {
 		b.counts.unrouted.Add(1)
 		b.sendReset(&env.Packet, "no route", out)
@@ -33,16 +33,6 @@
 	b.forward(now, p, route, &env.Packet, !fromBalancer, out)
 }
 
-// bufferPacket keeps a packet until a configuration with placeable backend servers is
-// in force.
-func (b *Balancer) bufferPacket(p *currantturn.Packet) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.buffered) < maxBufferedPackets {
-		b.buffered = append(b.buffered, bytes.Clone(p.Payload))
-	}
-}
-
 // forward sends a caller's packet to its flow's backend server, or places the flow. It
 // may leave a search for the backend server to another balancer if mayDelegate is set.
 func (b *Balancer) forward(
@@ -110,7 +100,7 @@
 		return nil
 	}
 	t := p.byAgent[e.holder.agent]
-	if t == nil || t.entry.ID != e.holder.entry.ID {
+	if t == nil || t.entry.ID != e.holder.entry.ID && !e.holder.unregistered {
 		return nil
 	}
 	e.holder = t
@@ -123,6 +113,12 @@
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) {
 	t := b.chooseBackend(now, p, route, packet.Flow, e.tried, out)
+	if t == nil && p.provisional {
+		if len(e.tried) == 0 {
+			b.bufferPacket(now, packet)
+		}
+		return
+	}
 	if t == nil {
 		b.counts.refused.Add(1)
 		b.resetAndForget(now, packet, e, "no backend server takes new flows", out)
@@ -155,7 +151,10 @@
 ) *target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	placeable := p.placeable[b.chooseService(route)]
+	placeable := b.learnedHolders[route.Address]
+	if !p.provisional {
+		placeable = p.placeable[b.chooseService(route)]
+	}
 	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
 		var targets []*target
 		var candidates []placement.Candidate
@@ -254,7 +253,7 @@
 func (b *Balancer) handleReturned(
 	now time.Time, p *plan, from netip.AddrPort, env *currantturn.Envelope, out *currantturn.Effects,
 ) {
-	t, route := p.byAgent[from], p.routes[env.Packet.Flow.Service]
+	t, route := p.byAgent[from], p.route(env.Packet.Flow.Service)
 	if t == nil || route == nil {
 		return
 	}
@@ -298,7 +297,7 @@
 		if e == nil || e.progress != placing || now.Before(e.acceptDue) {
 			return e
 		}
-		route := p.routes[key.Service]
+		route := p.route(key.Service)
 		if route == nil {
 			return e
 		}
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -44,6 +44,9 @@
 
 // likelyHolders returns the targets that probably hold a flow of the route.
 func (p *plan) likelyHolders(route *currantturn.FlowRoute, flow currantturn.FlowKey) []*target {
+	if p.provisional {
+		return highestRanked(p.targets, flow, likelyHolderCount)
+	}
 	if len(route.Shares) == 1 {
 		return highestRanked(p.byService[route.Shares[0].Service], flow, likelyHolderCount)
 	}
@@ -235,7 +238,7 @@
 // updateSearch calls update for the flow if it is being searched for.
 func (b *Balancer) updateSearch(key currantturn.FlowKey, update func(*plan, *currantturn.FlowRoute, *entry)) {
 	p := b.plan.Load()
-	route := p.routes[key.Service]
+	route := p.route(key.Service)
 	if route == nil {
 		return
 	}
@@ -260,8 +263,8 @@
 	}
 	t.setForwards(m.Forwards)
 	for key := range m.Unsure.All() {
-		b.updateSearch(key, func(_ *plan, _ *currantturn.FlowRoute, e *entry) {
-			if len(e.pendingPacket) == 0 || slices.Contains(e.unsure, t) {
+		b.updateSearch(key, func(p *plan, _ *currantturn.FlowRoute, e *entry) {
+			if len(e.pendingPacket) == 0 || slices.Contains(e.unsure, t) || t.unregistered && !p.provisional {
 				return
 			}
 			if e.unsure = append(e.unsure, t); len(e.unsure) == 1 {
@@ -274,6 +277,10 @@
 // handleHeld records the target as the flow's holder, which ends a search. The pending
 // packet goes to the holder unless the search has delivered it.
 func (b *Balancer) handleHeld(now time.Time, key currantturn.FlowKey, t *target, delivered bool, out *currantturn.Effects) {
+	p := b.plan.Load()
+	if p.provisional {
+		b.learnHolder(key.Service, t)
+	}
 	b.flows.Update(key, func(e *entry) *entry {
 		if e == nil {
 			e = &entry{}
@@ -284,7 +291,7 @@
 		}
 		pending := e.pendingPacket
 		e.setHolder(now, t)
-		if route := b.plan.Load().routes[key.Service]; route != nil && !delivered && len(pending) > 0 {
+		if route := p.route(key.Service); route != nil && !delivered && len(pending) > 0 {
 			b.sendStored(now, t, route, currantturn.IntentHeld, pending, out)
 		}
 		return e
@@ -337,7 +344,7 @@
 func (b *Balancer) finishIfAllRuledOut(
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) bool {
-	if !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
+	if p.provisional || !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
 		return false
 	}
 	if e.minRevision > p.revision {
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -72,6 +73,8 @@
 	revision  uint64
 	recorded  time.Duration                  // how far back the published record of removals reaches
 	earlier   []routehistory.Entry           // services that the route used to lead to, in that record
+	storeDown bool                           // nothing is published, so that balancers only learn of announced agents
+	announced []statesync.Announced          // agents that announced themselves to any balancer
 	drop      func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
 
 	violations  []string                        // violated rules, as messages
@@ -101,6 +104,7 @@
 	queue        []func()
 	busySlots    int
 	requestsRun  int // requests completed
+	crashes      int // how often it has lost its memory
 }
 
 // connection is the state of a flow at its backend server, as sequence numbers.
@@ -151,6 +155,9 @@
 	for _, id := range sim.backendIDs() {
 		b := sim.backends[id]
 		sim.apply(b.address.Addr(), b, b.agent.Tick)
+		if b.agent.AnnounceDue(sim.now) {
+			sim.apply(b.address.Addr(), b, b.agent.Announce)
+		}
 	}
 }
 
@@ -202,10 +209,30 @@
 
 func (sim *simulation) restartAgent(b *backendVM, fresh bool) {
 	b.agent = flowagent.New(flowagent.Options{
-		Codec: sim.codec, Service: b.registration.Service, Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh,
+		Codec: sim.codec, Service: b.registration.Service, Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh, Seeds: sim.seeds(),
 	})
 }
 
+// seeds returns the addresses of all balancers.
+func (sim *simulation) seeds() (all []netip.AddrPort) {
+	for _, b := range sim.balancers {
+		all = append(all, b.address)
+	}
+	return all
+}
+
+// recordAnnounced passes an agent's announcement to all balancers, as these do among
+// one another.
+func (sim *simulation) recordAnnounced(agent netip.AddrPort, m relay.Announce) {
+	if slices.ContainsFunc(sim.announced, func(a statesync.Announced) bool { return a.Agent == agent }) {
+		return
+	}
+	sim.announced = append(sim.announced, statesync.Announced{Agent: agent, Service: m.Service})
+	for _, b := range sim.balancers {
+		sim.publishTo(b)
+	}
+}
+
 // restartAll restarts every process; the new agents have no records of flows.
 func (sim *simulation) restartAll() {
 	for _, b := range sim.backends {
@@ -246,6 +273,11 @@
 }
 
 func (sim *simulation) publishTo(b *balancerVM) {
+	if sim.storeDown {
+		s := statesync.State{Announced: sim.announced}
+		sim.apply(b.address.Addr(), nil, func(now time.Time, out *currantturn.Effects) { b.balancer.Publish(now, s, out) })
+		return
+	}
 	s := statesync.State{
 		Revision: sim.revision, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier,
 	}
@@ -322,6 +354,12 @@
 			panic(err)
 		}
 	}
+	if announce, ok := m.(relay.Announce); ok {
+		if sim.storeDown {
+			sim.recordAnnounced(from, announce)
+		}
+		return
+	}
 	for _, b := range sim.balancers {
 		if b.address == to && !b.down {
 			sim.apply(to.Addr(), nil, func(now time.Time, out *currantturn.Effects) {
@@ -416,6 +454,13 @@
 	}
 }
 
+// crash restarts a backend server, which loses its flows and requests.
+func (b *backendVM) crash() {
+	clear(b.flows)
+	b.queue = nil
+	b.crashes++
+}
+
 // runRequest runs a request in a slot, or queues it in order of arrival.
 func (sim *simulation) runRequest(b *backendVM, done func()) {
 	if b.busySlots >= b.registration.Slots {
@@ -423,9 +468,10 @@
 		return
 	}
 	b.busySlots++
+	crashes := b.crashes
 	sim.schedule(b.serviceTime, func() {
 		b.busySlots--
-		if !b.unresponsive {
+		if !b.unresponsive && b.crashes == crashes {
 			done()
 		}
 		if len(b.queue) > 0 {
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -18,6 +18,9 @@
 	entry roster.Entry
 	agent netip.AddrPort // link address of the agent
 	seed  uint64         // hash of the ID, which ranks the target for flows
+	// unregistered is true for an announced agent without a registration. It is trusted
+	// for nothing but the flows that it reports to hold.
+	unregistered bool
 
 	mu                 sync.Mutex
 	load               relay.Load
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -14,9 +14,13 @@
 	// peerRetention is how long a balancer that sends nothing still gets
 	// heartbeats; seeds get them always.
 	peerRetention = time.Minute
-	// minBackoff and maxBackoff bound the pause after a failed read, before jitter.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed read, before jitter;
+	// maxFirstBackoff replaces maxBackoff in the first firstFailures failures of watchers
+	// without a usable state, which take about a second.
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 800 * time.Millisecond
+	maxFirstBackoff = 200 * time.Millisecond
+	firstFailures   = 6
 	// resumeWait is the longest duration of the first watch after a failure or a pause,
 	// which confirms the state at once.
 	resumeWait = time.Millisecond
@@ -26,6 +30,13 @@
 	// delegateSpeedup is how many times faster a balancer's link has to be for others to
 	// leave searches to it; the packets pass both links.
 	delegateSpeedup = 4
+	// announceLifetime is how long an announcement is kept: longer than the longest
+	// interval of announcements.
+	announceLifetime = 15 * time.Second
+	// maxAnnounced limits the announced agents; a deployment has some thousand.
+	maxAnnounced = 1 << 14
+	// maxNameBytes limits the names in an announcement; longer ones are not configured.
+	maxNameBytes = 63
 	// lapseGrace is how long after an outage of the store a registration may be
 	// missing although its backend server runs: about two seconds according to the
 	// platform.
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -39,6 +39,8 @@
 	// registrations and Earlier the services of routes that were removed since then.
 	RecordedMS uint32               `cbor:"5,keyasint,omitempty"`
 	Earlier    []routehistory.Entry `cbor:"6,keyasint,omitempty"`
+	// Announced are agents that may not be registered.
+	Announced []Announced `cbor:"7,keyasint,omitempty"`
 }
 
 // Recorded returns how far back the record of removals reaches.
@@ -91,11 +93,15 @@
 	lastFailedAt time.Time // last failed read of this balancer
 	// trustedFrom is when a missing registration no longer counts as a lapse
 	// caused by an outage of the store.
-	trustedFrom      time.Time
+	trustedFrom time.Time
+	// lapsedUntil is the time until which a backend server that runs may not be registered:
+	// after the first state, and after an outage of the store.
+	lapsedUntil      time.Time
 	failures         int // consecutive failed reads
 	peers            map[netip.AddrPort]peer
-	changed          []roster.Entry // by the last update; nil if more than that changed
-	changedSince     uint64         // revision before that update
+	announced        map[netip.AddrPort]announcement // by link address of the agent
+	changed          []roster.Entry                  // by the last update; nil if more than that changed
+	changedSince     uint64                          // revision before that update
 	lastHeartbeat    time.Time
 	reportedWatching bool // whether the last event said that this balancer watches
 	counts           Counters
@@ -114,6 +120,7 @@
 	Unconfirmed uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
 	Peers       int    `json:"peers"`      // other balancers that are alive
 	Registered  int    `json:"registered"` // current registrations
+	Announced   uint64 `json:"announced"`  // announcements of agents that receive nothing from balancers
 
 	Ages metric.Summary `json:"ages"` // age of configuration and registrations, at each heartbeat
 }
@@ -148,6 +155,7 @@
 		recordedSince: now,
 		mustList:      true,
 		peers:         make(map[netip.AddrPort]peer),
+		announced:     make(map[netip.AddrPort]announcement),
 		ages:          metric.NewHistogram(),
 	}
 	if opts.Fresh {
@@ -168,6 +176,9 @@
 	s := f.state
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
+	if !f.usable() || now.Before(f.lapsedUntil) {
+		s.Announced = f.announcedAgents(now)
+	}
 	return s
 }
 
@@ -178,7 +189,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failures > 0 {
-		if retryAt := f.lastFailedAt.Add(f.backoff()); now.Before(retryAt) {
+		if retryAt := f.lastFailedAt.Add(f.backoff(now)); now.Before(retryAt) {
 			return Plan{Step: StepPause, Wait: retryAt.Sub(now)}
 		}
 	}
@@ -202,9 +213,14 @@
 	return f.state.Routing != nil && len(f.state.Servers) > 0
 }
 
-// backoff returns the pause with jitter after the present number of failures.
-func (f *Feed) backoff() time.Duration {
-	d := min(minBackoff<<min(f.failures-1, 8), maxBackoff)
+// backoff returns the pause with jitter after the present number of failures. At first
+// it stays short for watchers without a usable state, for which all others wait.
+func (f *Feed) backoff(now time.Time) time.Duration {
+	limit := maxBackoff
+	if f.failures <= firstFailures && !f.usable() && f.isWatcher(now) {
+		limit = maxFirstBackoff
+	}
+	d := min(minBackoff<<min(f.failures-1, 8), limit)
 	return d/2 + time.Duration(f.rng.Int64N(int64(d)))
 }
 
@@ -327,6 +343,9 @@
 
 // endOutage ends the outage, if there was one, after a successful read.
 func (f *Feed) endOutage(now time.Time, out *currantturn.Effects) {
+	if f.failures > 0 || !f.usable() {
+		f.lapsedUntil = now.Add(lapseGrace)
+	}
 	if f.failures > 0 {
 		f.trustedFrom = now.Add(lapseGrace)
 		out.Event(event.StoreRegained, event.F("failures", f.failures))
@@ -342,10 +361,14 @@
 	if s.Routing == nil && s.Version == f.state.RoutingVersion() {
 		s.Routing = f.state.Routing
 	}
+	f.mergeAnnounced(now, s.Announced)
 	if s.Revision < f.state.Revision || s.Routing == nil {
 		return
 	}
 	f.counts.Pulls++
+	if !f.usable() {
+		f.lapsedUntil = now.Add(lapseGrace)
+	}
 	f.mustList = false
 	f.mergeRecord(now, &s)
 	if s.Revision == f.state.Revision {
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -343,6 +343,16 @@
 		expectCurrentVersion(f)
 	})
 
+	It("is read again soon by the watchers after a restart of all balancers while the store refuses reads", func() {
+		f := newFleet(12)
+		f.readRefused = func(int) bool { return true }
+		f.run(time.Second)
+		Expect(f.calls).To(BeNumerically("<", 12*8))
+		f.readRefused = nil
+		f.run(400 * time.Millisecond)
+		expectCurrentVersion(f)
+	})
+
 	It("keeps a registration that lapses in an outage of the store, and removes it if it does not return", func() {
 		f := newFleet(1)
 		f.servers = append(f.servers, currantturn.Registration{ID: "b", State: currantturn.BackendActive})
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -22,7 +22,8 @@
 	Changed []roster.Entry `cbor:"7,keyasint,omitempty"`
 	// RecordedMS is how far back the sender's record of removals reaches.
 	RecordedMS uint32 `cbor:"8,keyasint,omitempty"`
-	Searches   bool   `cbor:"9,keyasint,omitempty"` // whether the sender takes searches from other balancers
+	Searches   bool   `cbor:"9,keyasint,omitempty"`  // whether the sender takes searches from other balancers
+	Announced  uint32 `cbor:"10,keyasint,omitempty"` // agents that announced themselves to the sender or its peers
 }
 
 // Kind returns the kind of the message on the wire.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -63,6 +63,8 @@
 		}
 	}
 	switch {
+	case f.needsAnnounced(int(h.Announced)):
+		return OutcomePull
 	case h.Version == 0 || h.Revision < f.state.Revision:
 		return OutcomeNone // a recent confirmation of an older state confirms nothing here
 	case h.Revision > f.state.Revision:
@@ -106,6 +108,11 @@
 		f.state.Servers = f.servers.Entries()
 		changed = true
 	}
+	changed = f.expireAnnounced(now) || changed
+	if !f.lapsedUntil.IsZero() && !now.Before(f.lapsedUntil) {
+		f.lapsedUntil = time.Time{}
+		changed = changed || len(f.announced) > 0
+	}
 	if now.Sub(f.lastHeartbeat) >= heartbeatInterval {
 		if f.state.Routing != nil {
 			f.ages.Record(now.Sub(f.confirmedAt))
@@ -180,7 +187,7 @@
 		Revision: f.state.Revision, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
 		Peers: receivers[:min(len(receivers), maxHeartbeatPeers)], Since: f.changedSince, Changed: f.changed,
 	}
-	h.RecordedMS, h.Searches = f.recordedMS(now), true
+	h.RecordedMS, h.Searches, h.Announced = f.recordedMS(now), true, uint32(len(f.announced))
 	h.AgeMS = uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds())
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
 		out.Send(addr, h)
--- a/internal/core/flow_agent.go
+++ b/internal/core/flow_agent.go
@@ -2,26 +2,30 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/flowagent"
+	"github.com/currantturn/currantturn/internal/pause"
 	"github.com/currantturn/currantturn/internal/transport/datagram"
 )
 
 // FlowAgentOptions holds the settings and the parts of an agent of opaque flows.
 type FlowAgentOptions struct {
-	Name       currantturn.BackendID
-	Codec      currantturn.PacketCodec
-	Service    currantturn.ServiceName
-	Link       netip.AddrPort
-	Outbound   netip.AddrPort // where the backend server sends packets to
-	Backend    netip.AddrPort // where the backend server receives packets
-	CallerPort uint16         // at which callers receive packets
-	FreshStart bool           // no flow can be older than this process
-	Clock      func() time.Time
-	Report     func(currantturn.Event)
+	Name          currantturn.BackendID
+	Codec         currantturn.PacketCodec
+	Service       currantturn.ServiceName
+	Link          netip.AddrPort
+	Outbound      netip.AddrPort   // where the backend server sends packets to
+	Backend       netip.AddrPort   // where the backend server receives packets
+	CallerPort    uint16           // at which callers receive packets
+	Seeds         []netip.AddrPort // state addresses of balancers
+	FailureDomain currantturn.FailureDomain
+	FreshStart    bool // no flow can be older than this process
+	Clock         func() time.Time
+	Report        func(currantturn.Event)
 }
 
 // FlowAgent is a running agent of opaque flows.
@@ -42,6 +46,7 @@
 		Agent: flowagent.New(flowagent.Options{
 			Codec: opts.Codec, Service: opts.Service, Backend: opts.Name,
 			LinkPort: opts.Link.Port(), Started: opts.Clock(), Fresh: opts.FreshStart,
+			Seeds: seedLinks(opts.Seeds, opts.Link), FailureDomain: opts.FailureDomain,
 		}),
 		outbound: outbound,
 	}
@@ -58,6 +63,7 @@
 	go a.node.serve(link, a.receiveFrame)
 	go a.node.serve(outbound, a.receiveFromBackend)
 	go a.node.tickLoop(ctx, idleTickInterval, a.Tick)
+	go a.announceLoop(ctx, opts.Backend)
 	return a, nil
 }
 
@@ -78,6 +84,30 @@
 	a.node.decide(func(now time.Time, out *currantturn.Effects) { a.Answer(now, &p, out) })
 }
 
+// announceLoop sends announcements when they are due and the backend server accepts
+// connections, until the context ends.
+func (a *FlowAgent) announceLoop(ctx context.Context, backend netip.AddrPort) {
+	dialer := net.Dialer{Timeout: backendDialTimeout}
+	for ctx.Err() == nil {
+		if a.AnnounceDue(a.node.clock()) {
+			// A refused connection is normal beside a backend server that has ended.
+			if conn, err := dialer.DialContext(ctx, "tcp4", backend.String()); err == nil {
+				_ = conn.Close() // nothing was sent
+				a.node.decide(a.Announce)
+			}
+		}
+		pause.For(ctx, announceCheckInterval)
+	}
+}
+
+const (
+	// announceCheckInterval is how often an agent checks whether to announce itself.
+	announceCheckInterval = 100 * time.Millisecond
+	// backendDialTimeout limits the time to open a connection to the backend server on
+	// the own VM.
+	backendDialTimeout = 100 * time.Millisecond
+)
+
 // Close stops the agent at once.
 func (a *FlowAgent) Close() error {
 	a.cancel()
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -12,6 +12,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/pause"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
 	"github.com/currantturn/currantturn/internal/transport/datagram"
 )
 
@@ -60,10 +61,6 @@
 	if err != nil {
 		return nil, err
 	}
-	seeds := make([]netip.AddrPort, len(opts.Seeds))
-	for i, s := range opts.Seeds {
-		seeds[i] = netip.AddrPortFrom(s.Addr(), opts.Link.Port())
-	}
 	b := &FlowBalancer{
 		Balancer: flowbalancer.New(flowbalancer.Options{
 			Codec: opts.Codec, Domain: opts.FailureDomain, AgentPort: opts.Link.Port(), Seed: opts.Seed,
@@ -72,7 +69,7 @@
 		opts:    opts,
 		callers: callers,
 		feed: statesync.New(opts.Clock(), statesync.Options{
-			Self: opts.Link, Seeds: seeds, Seed: opts.Seed, ApplyWithin: opts.ApplyWithin,
+			Self: opts.Link, Seeds: seedLinks(opts.Seeds, opts.Link), Seed: opts.Seed, ApplyWithin: opts.ApplyWithin,
 			Capacity: opts.LinkCapacity, Fresh: opts.FreshStart,
 		}),
 	}
@@ -134,8 +131,14 @@
 // receiveFrame handles a frame from another balancer or an agent.
 func (b *FlowBalancer) receiveFrame(from netip.AddrPort, frame []byte) {
 	b.node.receiveFrame(from, frame, b, func(from netip.AddrPort, m currantturn.Message) {
-		if h, ok := m.(statesync.Heartbeat); ok {
-			b.handleHeartbeat(from, h)
+		switch m := m.(type) {
+		case statesync.Heartbeat:
+			b.handleHeartbeat(from, m)
+			return
+		case relay.Announce:
+			if b.feed.HandleAnnounce(b.node.clock(), from, m) {
+				b.stateChanged.Store(true)
+			}
 			return
 		}
 		b.node.decide(func(now time.Time, out *currantturn.Effects) { b.Handle(now, from, m, out) })
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -51,6 +51,16 @@
 	return linkSocket, otherSocket, nil
 }
 
+// seedLinks returns the link addresses of balancers with the given state addresses; the
+// port is that of the own link address.
+func seedLinks(seeds []netip.AddrPort, link netip.AddrPort) []netip.AddrPort {
+	links := make([]netip.AddrPort, len(seeds))
+	for i, s := range seeds {
+		links[i] = netip.AddrPortFrom(s.Addr(), link.Port())
+	}
+	return links
+}
+
 // serve passes the datagrams received on a socket to handle until it is closed.
 func (n *relayNode) serve(socket *datagram.Socket, handle func(netip.AddrPort, []byte)) {
 	if err := socket.Serve(handle); err != nil {
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -12,6 +12,7 @@
 	StatePulled            = 807
 	StoreWatched           = 808
 	StoreLeftToOthers      = 809
+	AgentsAnnounced        = 810
 )
 
 var stateSyncDefinitions = []Definition{
@@ -24,4 +25,5 @@
 	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer revision version")},
 	{StoreWatched, "store_watched", Info, "balancer watches the store: too few live balancers rank ahead of it by link capacity", fields("peers age")},
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
+	{AgentsAnnounced, "agents_announced", Warning, "nothing is published yet; flows are searched for among agents that announced themselves, and new ones go only to agents that hold flows of their address", fields("agents")},
 }
--- a/internal/process/flow.go
+++ b/internal/process/flow.go
@@ -138,6 +138,7 @@
 		Name: currantturn.BackendID(o.Process.Name), Codec: platform.Packets{}, Service: o.Relay.Service,
 		Link: o.Relay.LinkAddress, Outbound: o.Relay.OutboundAddress, Backend: o.Relay.BackendAddress,
 		CallerPort: o.Relay.CallerAddress.Port(), FreshStart: o.Relay.FreshStart,
+		Seeds: o.Relay.Seeds, FailureDomain: o.Process.FailureDomain,
 		Clock: time.Now, Report: c.report,
 	})
 	if err != nil {
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -74,6 +74,7 @@
 		Entry(nil, relay.QueryReply{Held: relay.Flows{}.Append(flow.Key(), 7), Revision: 3}),
 		Entry(nil, relay.Held{Flow: flow}), Entry(nil, relay.Absent{Flow: flow}),
 		Entry(nil, relay.Report{Load: relay.Load{Unresponsive: true}}),
+		Entry(nil, relay.Announce{Service: "verify", FailureDomain: "hall-a"}),
 	)
 
 	It("carries a list of MaxFlows flows within a datagram", func() {
@@ -107,6 +108,15 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(relay.AppendPacket(nil, &currantturn.Envelope{Intent: currantturn.IntentPlace, Service: "verify"}))
+	f.Add(relay.AppendPacket(nil, &currantturn.Envelope{
+		Intent: currantturn.IntentSearch, Balancer: netip.MustParseAddrPort("10.3.0.1:7120"),
+		Recipients: []netip.Addr{netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.2.0.1")},
+	}))
+	announce, err := relay.AppendMessage(nil, relay.Announce{Service: "verify", FailureDomain: "hall-a"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(announce)
 	f.Fuzz(func(t *testing.T, frame []byte) {
 		var e currantturn.Envelope
 		m, err := relay.Decode(frame, "verify", &e)
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -100,6 +100,16 @@
 // Kind returns the name of the message kind on the wire.
 func (Report) Kind() currantturn.Kind { return "report" }
 
+// Announce notifies a balancer of an agent that receives nothing from any balancer. A
+// balancer that has no published state finds the agent's flows by it.
+type Announce struct {
+	Service       currantturn.ServiceName   `cbor:"1,keyasint"` // of the backend server
+	FailureDomain currantturn.FailureDomain `cbor:"2,keyasint"`
+}
+
+// Kind returns the name of the message kind on the wire.
+func (Announce) Kind() currantturn.Kind { return "announce" }
+
 // Probe requests an immediate Report from an agent.
 type Probe struct{}
 
@@ -114,4 +124,5 @@
 	message.Register[Absent]()
 	message.Register[Report]()
 	message.Register[Probe]()
+	message.Register[Announce]()
 }
