Let new flows leave an overloaded service of a split route

The service of a new flow was drawn by weight alone; and if the drawn service had no backend server for the flow, the flow was refused although the other had some.

Change: while the backend servers that suit a flow in the drawn service are overloaded (the expected time to an answer exceeds half of the objective because of waiting), the flow goes to a free slot of another service of the route. A setting turns it off, an event and a metric count it. The threshold comes from the route's objective and the measured service time, not from a fixed count of requests.

--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -26,6 +26,9 @@
 	// LinkRate is the rate of the VM's network link in bytes per second; 0 means
 	// unlimited.
 	LinkRate float64
+	// NoOverflow keeps new flows on the service drawn by the weights of their route even
+	// while it is overloaded.
+	NoOverflow bool
 }
 
 // Balancer routes the packets of opaque flows at an entry VM.
@@ -64,22 +67,23 @@
 
 // counts are the values of Counters, updated concurrently.
 type counts struct {
-	placed, replaced, known, searched, found, absent, refused, unrouted, full, delegated atomic.Uint64
+	placed, replaced, known, searched, found, absent, refused, unrouted, full, delegated, overflowed atomic.Uint64
 }
 
 // Counters are a balancer's totals since its start.
 type Counters struct {
-	Placed    uint64 `json:"placed"`    // new flows sent to a backend server
-	Replaced  uint64 `json:"replaced"`  // new flows sent to another backend server after one did not accept them
-	Known     uint64 `json:"known"`     // packets of flows whose holder was known
-	Searched  uint64 `json:"searched"`  // packets of unknown flows that started or continued a search
-	Found     uint64 `json:"found"`     // searches that found the holder
-	Absent    uint64 `json:"absent"`    // searches in which every possible holder was ruled out
-	Refused   uint64 `json:"refused"`   // new flows reset because no backend server was available
-	Unrouted  uint64 `json:"unrouted"`  // packets of flows without a route
-	Full      uint64 `json:"full"`      // packets of flows that did not fit into the flow table
-	Delegated uint64 `json:"delegated"` // packets of unknown flows left to a balancer with a faster link
-	Flows     int    `json:"flows"`     // flows remembered now
+	Placed     uint64 `json:"placed"`     // new flows sent to a backend server
+	Replaced   uint64 `json:"replaced"`   // new flows sent to another backend server after one did not accept them
+	Known      uint64 `json:"known"`      // packets of flows whose holder was known
+	Searched   uint64 `json:"searched"`   // packets of unknown flows that started or continued a search
+	Found      uint64 `json:"found"`      // searches that found the holder
+	Absent     uint64 `json:"absent"`     // searches in which every possible holder was ruled out
+	Refused    uint64 `json:"refused"`    // new flows reset because no backend server was available
+	Unrouted   uint64 `json:"unrouted"`   // packets of flows without a route
+	Full       uint64 `json:"full"`       // packets of flows that did not fit into the flow table
+	Delegated  uint64 `json:"delegated"`  // packets of unknown flows left to a balancer with a faster link
+	Overflowed uint64 `json:"overflowed"` // new flows placed on another service of their route than the drawn one
+	Flows      int    `json:"flows"`      // flows remembered now
 }
 
 // New returns a balancer that has no configuration yet.
@@ -105,7 +109,7 @@
 		Placed: c.placed.Load(), Replaced: c.replaced.Load(), Known: c.known.Load(),
 		Searched: c.searched.Load(), Found: c.found.Load(), Absent: c.absent.Load(),
 		Refused: c.refused.Load(), Unrouted: c.unrouted.Load(), Full: c.full.Load(),
-		Delegated: c.delegated.Load(), Flows: b.flows.Len(),
+		Delegated: c.delegated.Load(), Overflowed: c.overflowed.Load(), Flows: b.flows.Len(),
 	}
 }
 
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
-	"github.com/currantturn/currantturn/internal/coordination/placement"
 	"github.com/currantturn/currantturn/internal/event"
 )
 
@@ -142,81 +140,6 @@
 	}
 }
 
-// chooseBackend returns the best backend server that has not been tried, or nil if
-// there is none. It considers only the highest-ranked ones, so that searches find the
-// flow quickly, unless all of these were tried or are to be avoided.
-func (b *Balancer) chooseBackend(
-	now time.Time, p *plan, route *currantturn.FlowRoute, flow currantturn.FlowKey, tried []currantturn.BackendID,
-	out *currantturn.Effects,
-) *target {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	placeable := b.learnedHolders[route.Address]
-	if !p.provisional {
-		placeable = p.placeable[b.chooseService(route)]
-	}
-	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
-		var targets []*target
-		var candidates []placement.Candidate
-		for _, t := range group {
-			c := t.candidate(now, b.opts.Domain)
-			if slices.Contains(tried, t.entry.ID) || c.Avoid && len(group) < len(placeable) {
-				continue
-			}
-			targets = append(targets, t)
-			candidates = append(candidates, c)
-		}
-		usual := placement.UsualServiceTime(candidates)
-		reportSpeedChanges(now, targets, candidates, usual, out)
-		if best := placement.Choose(b.rng, candidates, usual); best >= 0 {
-			return targets[best]
-		}
-	}
-	return nil
-}
-
-// reportSpeedChanges emits an event for each target that has become slow compared to
-// the others, or is no longer slow.
-func reportSpeedChanges(
-	now time.Time, targets []*target, candidates []placement.Candidate, usual time.Duration, out *currantturn.Effects,
-) {
-	for i, t := range targets {
-		c := &candidates[i]
-		if c.ServiceTime <= 0 || len(candidates) == 1 {
-			continue
-		}
-		slow, changed := t.updateSlow(c, usual)
-		if !changed {
-			continue
-		}
-		eventNumber := event.BackendUsual
-		if slow {
-			eventNumber = event.BackendSlow
-		}
-		out.Event(eventNumber, event.F("backend", t.entry.ID), event.F("service_time", c.ServiceTime),
-			event.F("usual", usual), event.F("age", t.loadSnapshot(now).age))
-	}
-}
-
-// chooseService draws the service of a new flow at random, by the weights of the
-// route.
-func (b *Balancer) chooseService(route *currantturn.FlowRoute) currantturn.ServiceName {
-	if len(route.Shares) == 1 {
-		return route.Shares[0].Service
-	}
-	total := 0
-	for _, s := range route.Shares {
-		total += s.Weight
-	}
-	remaining := b.rng.IntN(total)
-	for _, s := range route.Shares {
-		if remaining -= s.Weight; remaining < 0 {
-			return s.Service
-		}
-	}
-	return route.Shares[0].Service
-}
-
 // send forwards a packet to a target's agent. One that searches counts as a query.
 func (b *Balancer) send(
 	now time.Time, t *target, route *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -61,21 +61,22 @@
 
 // simulation runs balancers, agents, backend servers and callers in simulated time.
 type simulation struct {
-	now       time.Time
-	seq       int
-	timers    timerQueue
-	rng       *rand.Rand
-	codec     platform.Packets
-	balancers []*balancerVM
-	backends  map[currantturn.BackendID]*backendVM
-	callers   map[netip.AddrPort]*caller
-	routing   *currantturn.Routing
-	revision  uint64
-	recorded  time.Duration                  // how far back the published record of removals reaches
-	earlier   []routehistory.Entry           // services that the route used to lead to, in that record
-	storeDown bool                           // nothing is published, so that balancers only learn of announced agents
-	announced []statesync.Announced          // agents that announced themselves to any balancer
-	drop      func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
+	now        time.Time
+	seq        int
+	timers     timerQueue
+	rng        *rand.Rand
+	codec      platform.Packets
+	balancers  []*balancerVM
+	backends   map[currantturn.BackendID]*backendVM
+	callers    map[netip.AddrPort]*caller
+	routing    *currantturn.Routing
+	revision   uint64
+	recorded   time.Duration                  // how far back the published record of removals reaches
+	earlier    []routehistory.Entry           // services that the route used to lead to, in that record
+	noOverflow bool                           // balancers keep new flows on the service drawn by weight
+	storeDown  bool                           // nothing is published, so that balancers only learn of announced agents
+	announced  []statesync.Announced          // agents that announced themselves to any balancer
+	drop       func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
 
 	violations  []string                        // violated rules, as messages
 	eventCounts map[int]int                     // by event number
@@ -181,7 +182,7 @@
 
 func (sim *simulation) restartBalancer(b *balancerVM) {
 	b.down = false
-	b.balancer = flowbalancer.New(flowbalancer.Options{Codec: sim.codec, AgentPort: linkPort, Seed: sim.rng.Uint64(), LinkRate: b.linkRate})
+	b.balancer = flowbalancer.New(flowbalancer.Options{Codec: sim.codec, AgentPort: linkPort, Seed: sim.rng.Uint64(), LinkRate: b.linkRate, NoOverflow: sim.noOverflow})
 	sim.publishTo(b)
 }
 
--- a/internal/coordination/placement/constants.go
+++ b/internal/coordination/placement/constants.go
@@ -18,6 +18,9 @@
 	// remoteCost is the added cost of a backend server in another failure domain,
 	// equivalent to a few milliseconds of service time.
 	remoteCost = 0.02
+	// overloadShare is the share of the objective above which the expected time to an
+	// answer counts as overload; the rest is for work that is not reported yet.
+	overloadShare = 0.5
 	// avoidCost ranks a backend server that does not answer below all others.
 	avoidCost = 1e6
 	// costVariation is the relative random variation of costs, which spreads flows
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -33,6 +33,7 @@
 	LinkCapacity  float64          // of the network link, Mbit/s
 	Seed          uint64           // of random choices
 	FreshStart    bool             // no flow can be older than this process
+	Overflow      bool             // new flows may leave an overloaded service for another one of their route
 	// Pull reads the published state at another balancer's state address,
 	// without the routing if that has the known version.
 	Pull   func(ctx context.Context, at netip.AddrPort, known currantturn.Version) (statesync.State, error)
@@ -64,7 +65,7 @@
 	b := &FlowBalancer{
 		Balancer: flowbalancer.New(flowbalancer.Options{
 			Codec: opts.Codec, Domain: opts.FailureDomain, AgentPort: opts.Link.Port(), Seed: opts.Seed,
-			LinkRate: opts.LinkCapacity * bytesPerMegabit,
+			LinkRate: opts.LinkCapacity * bytesPerMegabit, NoOverflow: !opts.Overflow,
 		}),
 		opts:    opts,
 		callers: callers,
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -21,6 +21,7 @@
 	BackendUsual     = 837
 	AgentSilent      = 838
 	AgentHeard       = 839
+	FlowOverflowed   = 840
 )
 
 var opaqueFlowDefinitions = []Definition{
@@ -35,6 +36,7 @@
 	{BackendUsual, "backend_usual", Info, "backend server is about as fast as the others again", fields("backend service_time usual age")},
 	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do; it is treated as holding no flows", fields("backend peer unanswered registered")},
 	{AgentHeard, "agent_heard", Info, "agent answers again", fields("backend peer")},
+	{FlowOverflowed, "flow_overflowed", Info, "new flow goes to another service of its route: the drawn one has no backend server for it, or only overloaded ones", fields("flow drawn service")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned to its balancer", fields("flow service")},
 	{RequestGivenUp, "request_given_up", Info, "caller abandoned a request that waited for a slot; the request did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram cannot be decoded", fields("peer error")},
--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -26,6 +26,7 @@
 	StateAddress netip.AddrPort
 	Seeds        []netip.AddrPort
 	LinkCapacity float64 // Mbit/s
+	Overflow     bool
 
 	// Settings of an agent.
 	OutboundAddress netip.AddrPort
@@ -61,6 +62,8 @@
 			lists(addresses()), func(o *Options) *[]netip.AddrPort { return &o.Relay.Seeds }),
 		key("link_capacity", "1000", "Capacity of the VM's network link; balancers with the fastest links read the store for the others.",
 			rates("Mbit/s", 0.1, 1e6), func(o *Options) *float64 { return &o.Relay.LinkCapacity }).onlyFor(balancer),
+		key("overflow", "true", "Whether new flows may go to another service of their route while all suitable backend servers of the one drawn by weight are overloaded.",
+			booleans(), func(o *Options) *bool { return &o.Relay.Overflow }).onlyFor(balancer),
 		key("outbound_address", "", "UDP address to which the backend server sends its packets.",
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Relay.OutboundAddress }).required().onlyFor(agent),
 		key("backend_address", "", "Address of the backend server: UDP for packets; a TCP connection, without a request, shows whether it runs.",
