Never send a request's body on after a peer has read a part of it

Cause: forwardToPeer took a peer's 421 for "nothing was sent" and served the request itself, although the HTTP client had read a part of the unbuffered body for the peer. The HTTP/3 client may even go on reading while the agent's own backend server is sent the body.

Change: the body of an unclaimed request is withdrawn from the peer before the agent serves the request itself. If it was read, the request ends as not run, which is what the peer said.

--- a/internal/transport/request/backend.go
+++ b/internal/transport/request/backend.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// callerBody returns the caller's body in a form that the HTTP client never
+// bodyToSend returns the caller's body in a form that the HTTP client never
 // sends twice. Only an idempotent request without a body may be sent again.
-func (x *exchange) callerBody() io.ReadCloser {
+func (x *exchange) bodyToSend() io.ReadCloser {
 	if x.params.Idempotent && x.r.ContentLength == 0 {
 		return http.NoBody
 	}
--- a/internal/transport/request/exchange.go
+++ b/internal/transport/request/exchange.go
@@ -60,15 +60,16 @@
 // false if the request was answered because its body cannot be buffered.
 func (x *exchange) bufferBody() bool {
 	limit := int64(x.h.opts.MaxBodyBytes)
-	x.bufferedBytes = max(x.r.ContentLength, 0)
+	size := max(x.r.ContentLength, 0)
 	if x.r.ContentLength < 0 {
-		x.bufferedBytes = limit
+		size = limit
 	}
-	switch {
-	case x.bufferedBytes > limit:
+	if size > limit {
 		x.writeOutcome(protocol.Malformed, "request body is too large", 0)
 		return false
-	case x.h.bufferedBytes.Add(x.bufferedBytes) > int64(x.h.opts.MaxBufferedBytes):
+	}
+	x.bufferedBytes = size
+	if x.h.bufferedBytes.Add(size) > int64(x.h.opts.MaxBufferedBytes) {
 		x.refuseBeforeClaim("too many request bodies are held")
 		return false
 	}
--- a/internal/transport/request/handler_test.go
+++ b/internal/transport/request/handler_test.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,9 @@
 
 func TestRequest(t *testing.T) { suite.Run(t, "transport/request") }
 
+// sizeHeader has the number of bytes of a request's body, as its caller means to send them.
+const sizeHeader = "X-Size"
+
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
 // newServerTLS returns a TLS configuration with a self-signed certificate.
@@ -58,6 +62,8 @@
 	callerServer *request.PeerServer // serves callers over the same HTTP/3
 	peerServer   *request.PeerServer
 	runs         atomic.Int64
+	refuseAfter  atomic.Int64  // if set, peers' requests are refused as of another service after so many bytes of their body
+	shortened    atomic.Int64  // requests whose body ended early without an error
 	cancelled    chan struct{} // closed when the backend server's request on /hold is cancelled
 	release      chan struct{} // the backend server answers /hold once this is closed
 }
@@ -92,7 +98,7 @@
 		var err error
 		a.callerServer, err = request.StartPeerServer(loopback, serverTLS, a.handler)
 		Expect(err).NotTo(HaveOccurred())
-		a.peerServer, err = request.StartPeerServer(loopback, serverTLS, a.handler.PeerHandler())
+		a.peerServer, err = request.StartPeerServer(loopback, serverTLS, a.servePeers(a.handler.PeerHandler()))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() {
 			_ = a.callerServer.Close()
@@ -130,10 +136,27 @@
 	}
 }
 
+// servePeers returns the handler of peers' requests, or one that refuses them if
+// refuseAfter is set.
+func (a *agent) servePeers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := a.refuseAfter.Load()
+		if n == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		_, _ = io.CopyN(io.Discard, r.Body, n)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+}
+
 // serveBackend is the backend server of an agent; the path chooses its behaviour.
 func (a *agent) serveBackend(w http.ResponseWriter, r *http.Request) {
 	a.runs.Add(1)
-	body, _ := io.ReadAll(r.Body) // net/http detects a closed connection only after the body is read
+	body, err := io.ReadAll(r.Body) // net/http detects a closed connection only after the body is read
+	if size, _ := strconv.Atoi(r.Header.Get(sizeHeader)); err == nil && len(body) < size {
+		a.shortened.Add(1)
+	}
 	switch r.URL.Path {
 	case "/cut", "/cut-chunked":
 		if r.URL.Path == "/cut" {
--- a/internal/transport/request/peer.go
+++ b/internal/transport/request/peer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -23,6 +24,9 @@
 // errOtherService reports that the peer serves another service and did not run the request.
 var errOtherService = eris.New("peer serves another service")
 
+// errBodyWithdrawn reports that a request's body is not to be sent to the peer.
+var errBodyWithdrawn = eris.New("request body is no longer available")
+
 // forwardToPeer forwards the request to a peer, if the gate chooses one. It
 // returns false if the request is still to be served here.
 func (x *exchange) forwardToPeer() bool {
@@ -33,25 +37,32 @@
 	x.h.withEffects(func(_ time.Time, out *currantturn.Effects) {
 		out.Event(event.RequestSpilled, event.F("service", string(x.h.opts.Service)), event.F("peer", string(peer.ID)))
 	})
-	res, sent, err := x.callPeer(peer)
+	body := &callerBody{Reader: x.r.Body}
+	res, sent, err := x.callPeer(peer, body)
 	if err == nil {
 		defer func() { _ = res.Body.Close() }()
 		x.relay(res, x.params.NeedsClaim())
 		return true
 	}
 	x.h.opts.Gate.MarkUnreachable(peer.ID)
-	if !sent || x.params.Idempotent && x.r.ContentLength == 0 {
+	switch unread := body.withdraw(); {
+	case !sent && unread, x.params.Idempotent && x.r.ContentLength == 0:
 		return false
+	case !sent:
+		// Only the rest of the body is left.
+		x.writeOutcome(protocol.NotRun, "the peer refused the request after a part of its body", defaultRetryAfter)
+		return true
 	}
 	x.writeOutcome(protocol.Unknown, "the peer that ran the request did not answer", defaultRetryAfter)
 	return true
 }
 
-// callPeer forwards the request to the peer and returns its answer. With an
-// error, sent reports whether the peer may have received and run the request.
-func (x *exchange) callPeer(peer admission.Peer) (res *http.Response, sent bool, err error) {
+// callPeer forwards the request to the peer and returns its answer. The body is that of
+// a request without a claim. With an error, sent reports whether the peer may have run
+// the request.
+func (x *exchange) callPeer(peer admission.Peer, unclaimedBody io.Reader) (res *http.Response, sent bool, err error) {
 	ctx, cancel := x.r.Context(), func() {}
-	var body io.ReadCloser = &oneShotBody{x.r.Body}
+	var body io.ReadCloser = &oneShotBody{unclaimedBody}
 	length := x.r.ContentLength
 	if x.params.NeedsClaim() {
 		ctx, cancel = x.detachedContext()
@@ -74,6 +85,34 @@
 	return res, true, nil
 }
 
+// callerBody is the body of a caller's request, which can be read only once. An HTTP
+// client may go on reading it after its call has returned.
+type callerBody struct {
+	io.Reader
+	mu            sync.Mutex
+	read, revoked bool
+}
+
+// Read reads from the body unless it was withdrawn.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	if b.revoked {
+		b.mu.Unlock()
+		return 0, errBodyWithdrawn
+	}
+	b.read = true
+	b.mu.Unlock()
+	return b.Reader.Read(p)
+}
+
+// withdraw ends the reading of the body and reports whether it is still whole.
+func (b *callerBody) withdraw() (unread bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.revoked = true
+	return !b.read
+}
+
 // PeerServer receives requests from peers over HTTP/3.
 type PeerServer struct {
 	conn   *net.UDPConn
--- a/internal/transport/request/unclaimed.go
+++ b/internal/transport/request/unclaimed.go
@@ -65,7 +65,7 @@
 func (x *exchange) callWithRetries(ctx context.Context) (*http.Response, error) {
 	retryable := x.params.Idempotent && x.r.ContentLength == 0
 	for n := 0; ; n++ {
-		res, err := x.callBackend(ctx, x.callerBody(), x.r.ContentLength)
+		res, err := x.callBackend(ctx, x.bodyToSend(), x.r.ContentLength)
 		failed := err != nil || res.StatusCode == http.StatusServiceUnavailable
 		if !failed || !retryable || n == maxRetries || ctx.Err() != nil {
 			return res, err
