Keep the account and the proofs of an agent whose flow table is full

Cause: with a full table, Answer counted an older flow as open with each of its packets and never took it off; Route delivered an opening packet and returned it to its balancer as well, so that it could open at two backend servers; and an agent with complete records denied a flow that its backend server held but whose record had no room: with all other agents' denials the balancer resets it.

Change: a new flow without room for its record is declined before its packet is delivered. A packet of another flow without room makes the records incomplete for the lifetime of a flow: its packets go to the backend server, which answers or bounces them, and queries are answered as unsure.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -46,6 +46,7 @@
 	openTimes    *metric.Histogram // from an opening packet to its answer
 	serviceTimes *metric.Histogram // from a request's delivery to the first data of its answer
 	counts       counts
+	untrackedAt  atomic.Pointer[time.Time] // when there was last no room for a flow's record; nil if never
 
 	mu                 sync.Mutex                         // guards the fields below
 	openDeadlines      schedule.List[currantturn.FlowKey] // answer deadlines of delivered opening packets
@@ -77,7 +78,7 @@
 	Declined  uint64 `json:"declined"`  // new flows declined and returned to their balancer
 	Forgotten uint64 `json:"forgotten"` // open flows that the backend server no longer held
 	Foreign   uint64 `json:"foreign"`   // packets for another service
-	Full      uint64 `json:"full"`      // new flows refused because the flow table is full
+	Full      uint64 `json:"full"`      // packets of flows without a record for which the flow table had no room
 	Waited    uint64 `json:"waited"`    // requests that waited for a slot
 	GaveUp    uint64 `json:"gave_up"`   // requests dropped because their timeout expired while they waited
 	Flows     int    `json:"flows"`     // flows tracked now
@@ -140,12 +141,23 @@
 
 // recordsComplete reports whether a flow without a record is certainly not held
 // here, because packets of every flow of the backend server have passed this
-// process. That holds for a fresh agent and after an uptime of flowLifetime. The
-// start of the backend server is not known: its registration may be of any age.
+// process. That holds for a fresh agent and after an uptime of flowLifetime, unless
+// there was no room for the record of a flow since then. The start of the backend
+// server is not known: its registration may be of any age.
 func (a *Agent) recordsComplete(now time.Time) bool {
+	if untracked := a.untrackedAt.Load(); untracked != nil && now.Sub(*untracked) <= flowLifetime {
+		return false
+	}
 	return a.opts.Fresh || now.Sub(a.opts.Started) > flowLifetime
 }
 
+// recordUntracked records that a packet passed of a flow that may be held here, and for
+// whose record there is no room.
+func (a *Agent) recordUntracked(now time.Time) {
+	a.counts.full.Add(1)
+	a.untrackedAt.Store(&now)
+}
+
 // Handle replies to a balancer's probe or query.
 func (a *Agent) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
 	switch m := m.(type) {
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -18,13 +18,16 @@
 		return
 	}
 	a.counts.answers.Add(1)
-	a.flows.Update(p.Flow, func(r *flowRecord) *flowRecord {
+	stored := a.flows.UpdateWithRoom(p.Flow, func(r *flowRecord, room bool) *flowRecord {
 		if r == nil {
 			if p.Mark == currantturn.MarkReset {
 				return nil // the flow's record has been deleted
 			}
 			// The flow is older than this process.
 			r = &flowRecord{progress: open, lastSeen: now}
+			if !room {
+				return r
+			}
 			a.tracker.addOpenFlows(1)
 		}
 		if r.progress == unconfirmed {
@@ -35,6 +38,9 @@
 		a.updateFromBackend(now, p, r, out)
 		return r
 	})
+	if !stored {
+		a.recordUntracked(now)
+	}
 	out.Answers = append(out.Answers, *p)
 	a.releaseRequests(now, out)
 }
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -35,15 +35,14 @@
 		a.refuse(in)
 		return
 	}
-	stored := a.flows.Update(e.Packet.Flow, func(r *flowRecord) *flowRecord {
+	stored := a.flows.UpdateWithRoom(e.Packet.Flow, func(r *flowRecord, room bool) *flowRecord {
 		if e.Packet.Mark == currantturn.MarkOpening {
-			return a.handleOpening(in, r)
+			return a.handleOpening(in, r, room)
 		}
 		return a.handleNonOpening(in, r)
 	})
 	if !stored {
-		a.counts.full.Add(1)
-		a.refuse(in)
+		a.recordUntracked(now)
 	}
 }
 
@@ -73,9 +72,14 @@
 }
 
 // handleOpening processes an opening packet: a repeated one is delivered to its
-// flow, any other starts a new flow unless the backend server is unresponsive.
-func (a *Agent) handleOpening(in *inboundPacket, r *flowRecord) *flowRecord {
+// flow, any other starts a new flow unless the backend server is unresponsive or there
+// is no room for its record.
+func (a *Agent) handleOpening(in *inboundPacket, r *flowRecord, room bool) *flowRecord {
 	switch {
+	case !room:
+		a.counts.full.Add(1)
+		a.refuse(in)
+		return nil
 	case in.intent == currantturn.IntentSearch:
 		return r
 	case r != nil && r.progress != closed && r.progress != unconfirmed:
--- a/internal/state/shard/map.go
+++ b/internal/state/shard/map.go
@@ -39,15 +39,22 @@
 // locked, and stores the entry that f returns; nil deletes the entry. It returns
 // false if the entry is new and the shard is full.
 func (m *Map[K, V]) Update(key K, f func(*V) *V) bool {
+	return m.UpdateWithRoom(key, func(v *V, _ bool) *V { return f(v) })
+}
+
+// UpdateWithRoom is Update with a function that is also told whether the entry that it
+// returns can be stored.
+func (m *Map[K, V]) UpdateWithRoom(key K, f func(v *V, room bool) *V) bool {
 	s := m.shardOf(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.m[key]
-	next := f(old)
+	room := old != nil || len(s.m) < m.maxPerShard
+	next := f(old, room)
 	switch {
 	case next == nil:
 		delete(s.m, key)
-	case old == nil && len(s.m) >= m.maxPerShard:
+	case !room:
 		return false
 	case next != old:
 		s.m[key] = next
