--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -38,8 +38,8 @@
 type Agent struct {
 	opts    Options
 	service atomic.Pointer[currantturn.ServiceName]
-	// revision is the newest revision of the published state received from any balancer.
-	revision     atomic.Uint64
+	// position is the newest position of the published state received from any balancer.
+	position     atomic.Pointer[currantturn.Position]
 	flows        *shard.Map[currantturn.FlowKey, flowRecord]
 	tracker      loadTracker
 	waitTimes    *metric.Histogram // from the start of a caller's attempt until its request runs, if it had to wait
@@ -105,6 +105,7 @@
 		serviceTimes:  metric.NewHistogram(),
 	}
 	a.SetService(opts.Service)
+	a.position.Store(&currantturn.Position{})
 	return a
 }
 
@@ -166,16 +167,23 @@
 		out.Send(from, relay.Report{Load: a.currentLoad(now)})
 	case relay.Query:
 		a.recordBalancer(now, from)
-		a.updateRevision(m.Revision)
+		a.updatePosition(m.Position())
 		out.Send(from, a.answerQuery(now, m.Flows))
 	}
 }
 
+// newReply returns a reply without flows.
+func (a *Agent) newReply() relay.QueryReply {
+	p := a.position.Load()
+	return relay.QueryReply{Revision: p.Revision, Era: p.Era}
+}
+
 // answerQuery returns which of the queried flows are held here. The query carries
 // the acknowledgement number of each flow's packet, which shows whether the caller
 // accepted this backend server's answer.
 func (a *Agent) answerQuery(now time.Time, flows relay.Flows) relay.QueryReply {
-	reply := relay.QueryReply{Revision: a.revision.Load(), Forwards: true}
+	reply := a.newReply()
+	reply.Forwards = true
 	for key, acked := range flows.All() {
 		list := &reply.Held
 		a.flows.Update(key, func(r *flowRecord) *flowRecord {
@@ -200,7 +208,7 @@
 	defer a.mu.Unlock()
 	flows := a.denials[to].Append(flow, 0)
 	if flows.Len() == relay.MaxFlows {
-		out.Send(to, relay.QueryReply{Absent: flows, Revision: a.revision.Load()})
+		a.sendDenial(to, flows, out)
 		flows = nil
 	}
 	a.denials[to] = flows
@@ -212,12 +220,19 @@
 	defer a.mu.Unlock()
 	for _, to := range slices.SortedFunc(maps.Keys(a.denials), netip.AddrPort.Compare) {
 		if flows := a.denials[to]; flows.Len() > 0 {
-			out.Send(to, relay.QueryReply{Absent: flows, Revision: a.revision.Load()})
+			a.sendDenial(to, flows, out)
 		}
 	}
 	clear(a.denials)
 }
 
+// sendDenial sends a balancer the flows that are not held here.
+func (a *Agent) sendDenial(to netip.AddrPort, flows relay.Flows, out *currantturn.Effects) {
+	reply := a.newReply()
+	reply.Absent = flows
+	out.Send(to, reply)
+}
+
 // Configure does nothing: the agent derives its state from packets.
 func (a *Agent) Configure(time.Time, *currantturn.View, *currantturn.Effects) {}
 
@@ -304,6 +319,6 @@
 func (a *Agent) returnToBalancer(to netip.AddrPort, intent currantturn.Intent, packet []byte, out *currantturn.Effects) {
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: to, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToCaller, Intent: intent, Service: a.Service(),
-		Packet: currantturn.Packet{Payload: packet}, Revision: a.revision.Load(),
+		Packet: currantturn.Packet{Payload: packet}, Position: *a.position.Load(),
 	}})
 }
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -26,7 +26,7 @@
 		from = netip.AddrPortFrom(e.Balancer.Addr(), a.opts.LinkPort)
 	}
 	a.recordBalancer(now, from)
-	a.updateRevision(e.Revision)
+	a.updatePosition(e.Position)
 	a.forwardSearch(from, e, out)
 	in := &inboundPacket{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
@@ -59,13 +59,13 @@
 	}
 }
 
-// updateRevision stores the newest revision received from balancers. Replies to
+// updatePosition stores the newest position received from balancers. Replies to
 // balancers carry it: with an older one, a balancer may lack the backend server that
 // holds the flow.
-func (a *Agent) updateRevision(revision uint64) {
+func (a *Agent) updatePosition(p currantturn.Position) {
 	for {
-		old := a.revision.Load()
-		if revision <= old || a.revision.CompareAndSwap(old, revision) {
+		old := a.position.Load()
+		if !p.After(*old) || a.position.CompareAndSwap(old, &p) {
 			return
 		}
 	}
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -164,7 +164,7 @@
 	if p.provisional && (old == nil || !old.provisional) {
 		out.Event(event.AgentsAnnounced, event.F("agents", len(p.targets)))
 	}
-	if !p.provisional && len(p.placeable) == 0 {
+	if !p.provisional && !p.placementHeld && len(p.placeable) == 0 {
 		return
 	}
 	for _, key := range deferred {
@@ -193,7 +193,7 @@
 	case relay.Held:
 		b.handleHeld(now, m.Flow.Key(), t, true, out)
 	case relay.Absent:
-		b.handleAbsent(now, m.Flow.Key(), t, m.Revision, out)
+		b.handleAbsent(now, m.Flow.Key(), t, m.Position(), out)
 	case relay.QueryReply:
 		b.handleQueryReply(now, m, t, out)
 	}
--- a/internal/coordination/flowbalancer/bench_test.go
+++ b/internal/coordination/flowbalancer/bench_test.go
@@ -17,7 +17,7 @@
 // fleetState returns a published state with the given numbers of routes and
 // registrations, 20 backend servers per service.
 func fleetState(routes, servers int) statesync.State {
-	s := statesync.State{Revision: 1, Routing: &currantturn.Routing{Version: 1}}
+	s := statesync.State{Position: currantturn.Position{Revision: 1}, Routing: &currantturn.Routing{Version: 1}}
 	for n := range routes {
 		s.Routing.Routes = append(s.Routing.Routes, currantturn.FlowRoute{
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443),
--- a/internal/coordination/flowbalancer/delegate.go
+++ b/internal/coordination/flowbalancer/delegate.go
@@ -36,7 +36,7 @@
 	}
 	b.counts.delegated.Add(1)
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: highestPeer(*peers, packet.Flow), Envelope: currantturn.Envelope{
-		Direction: currantturn.ToBackend, Intent: currantturn.IntentRoute, Packet: *packet, Revision: b.plan.Load().revision,
+		Direction: currantturn.ToBackend, Intent: currantturn.IntentRoute, Packet: *packet, Position: b.plan.Load().position,
 	}})
 	return true
 }
--- a/internal/coordination/flowbalancer/entry.go
+++ b/internal/coordination/flowbalancer/entry.go
@@ -39,7 +39,7 @@
 	unsure        []*target               // targets that are to be sent the pending packet, since only that shows whether they hold the flow
 	pendingPacket []byte                  // packet to deliver when the search ends
 	scope         searchScope             // how far the search has gone
-	minRevision   uint64                  // newest state that a denying agent reported; denials are no proof until it is in force
+	minPosition   currantturn.Position    // newest state that a denying agent reported; denials are no proof until it is in force
 	lastActive    time.Time               // last packet or change of the state
 	closedAt      time.Time               // the caller's first closing or reset packet
 	acked         uint32                  // what the caller's last packet acknowledged, for a reset
@@ -72,10 +72,12 @@
 	e.pendingPacket, e.unsure, e.scope, e.tried = nil, nil, scopeNone, nil
 }
 
-// recordDenial records that a backend server does not hold the flow. The revision is
-// the newest published state that its agent reported.
-func (e *entry) recordDenial(id currantturn.BackendID, revision uint64) {
-	e.minRevision = max(e.minRevision, revision)
+// recordDenial records that a backend server does not hold the flow. The position is
+// that of the newest published state that its agent reported.
+func (e *entry) recordDenial(id currantturn.BackendID, position currantturn.Position) {
+	if position.After(e.minPosition) {
+		e.minPosition = position
+	}
 	if !slices.Contains(e.deniedBy, id) {
 		e.deniedBy = append(e.deniedBy, id)
 	}
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -13,10 +13,13 @@
 // state changes after it is built.
 type plan struct {
 	version  currantturn.Version
-	revision uint64
+	position currantturn.Position
 	// provisional is true if nothing is published, so that only announced agents are known:
 	// flows are searched for among them, but not reset.
 	provisional bool
+	// placementHeld is true while new flows have to wait and no flow is reset, because the
+	// state may come from a copy of the store and nothing else is known yet.
+	placementHeld bool
 	// recordedSince is the time since which no removal of a registration, or of a
 	// service from a route, is missing from targets and earlierServices.
 	recordedSince   time.Time
@@ -35,8 +38,9 @@
 func newPlan(now time.Time, source *statesync.State, agentPort uint16, old *plan) *plan {
 	p := &plan{
 		version:         source.RoutingVersion(),
-		revision:        source.Revision,
+		position:        source.Position,
 		provisional:     source.Routing == nil,
+		placementHeld:   source.PlacementHeld,
 		recordedSince:   now.Add(-source.Recorded()),
 		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute),
 		earlierServices: make(map[netip.AddrPort][]currantturn.ServiceName),
@@ -56,10 +60,14 @@
 	for i := range source.Servers {
 		e := &source.Servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
-		if other := p.byAgent[agent]; other != nil && !supersedes(e, &other.entry) {
+		other := p.byAgent[agent]
+		contested := source.Unverified && other != nil && contest(e, &other.entry)
+		if other != nil && !supersedes(e, &other.entry) {
+			other.contested = other.contested || contested
 			continue
 		}
 		p.byAgent[agent] = newTarget(now, e, agent, old)
+		p.byAgent[agent].contested = contested
 	}
 	for i := range source.Servers {
 		t := p.byAgent[netip.AddrPortFrom(source.Servers[i].Address.Addr(), agentPort)]
@@ -68,7 +76,7 @@
 		}
 		p.targets = append(p.targets, t)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
-		if t.entry.Placeable() {
+		if t.entry.Placeable() && !t.contested && !p.placementHeld {
 			p.placeable[t.entry.Service] = append(p.placeable[t.entry.Service], t)
 		}
 	}
@@ -106,6 +114,19 @@
 	return p.routes[address]
 }
 
+// waits reports whether a packet has to wait for a later plan: there is no backend server
+// for new flows, or the state may lack routes and backend servers.
+func (p *plan) waits(packet *currantturn.Packet) bool {
+	switch {
+	case p.provisional:
+		return false
+	case p.placementHeld:
+		return packet.Mark == currantturn.MarkOpening || p.routes[packet.Flow.Service] == nil
+	default:
+		return len(p.placeable) == 0
+	}
+}
+
 // supersedes reports whether registration a is used instead of b, which has the same
 // address. One that still exists is preferred to a removed one. Of two removed ones
 // the one removed later is used; of two others the one whose backend server started
@@ -123,6 +144,12 @@
 	return a.CreatedRevision > b.CreatedRevision
 }
 
+// contest reports whether two registrations with one address are both in force, and
+// which one is later is unknown unless their revisions are of one era.
+func contest(a, b *roster.Entry) bool {
+	return a.Gone.IsZero() && b.Gone.IsZero() && a.StartedAt.Equal(b.StartedAt)
+}
+
 // addEarlierService records a service that a route used to lead to, unless it still
 // does.
 func (p *plan) addEarlierService(address netip.AddrPort, service currantturn.ServiceName) {
--- a/internal/coordination/flowbalancer/provisional.go
+++ b/internal/coordination/flowbalancer/provisional.go
@@ -56,7 +56,7 @@
 	case p.provisional:
 		return packet.Mark != currantturn.MarkOpening || len(b.learnedHolders[packet.Flow.Service]) > 0
 	default:
-		return len(p.placeable) > 0
+		return !p.waits(packet)
 	}
 }
 
@@ -78,7 +78,7 @@
 	for _, buffered := range expired {
 		if p, ok := b.decodeStored(buffered.payload); ok && p.Mark == currantturn.MarkOpening {
 			b.counts.refused.Add(1)
-			b.sendReset(&p, "no configuration", out)
+			b.sendReset(&p, "no configuration", 0, out)
 		}
 	}
 }
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -13,7 +13,7 @@
 // or one that the agent at from returned.
 func (b *Balancer) Route(now time.Time, from netip.AddrPort, env *currantturn.Envelope, out *currantturn.Effects) {
 	p := b.plan.Load()
-	if p == nil || !p.provisional && len(p.placeable) == 0 {
+	if p == nil || p.waits(&env.Packet) {
 		b.bufferPacket(now, &env.Packet)
 		return
 	}
@@ -25,7 +25,7 @@
 	route := p.route(env.Packet.Flow.Service)
 	if route == nil {
 		b.counts.unrouted.Add(1)
-		b.sendReset(&env.Packet, "no route", out)
+		b.sendReset(&env.Packet, "no route", 0, out)
 		return
 	}
 	b.forward(now, p, route, &env.Packet, !fromBalancer, out)
@@ -133,7 +133,7 @@
 	e.tried = append(e.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
 		event.F("backend", t.entry.ID), event.F("load", t.loadSnapshot(now)), event.F("version", uint64(p.version)),
-		event.F("revision", p.revision), event.F("tries", len(e.tried)))
+		event.F("era", p.position.Era), event.F("revision", p.position.Revision), event.F("tries", len(e.tried)))
 	b.send(now, t, route, currantturn.IntentPlace, packet, out)
 	if tries := len(e.tried); tries < maxAttempts { // after the last attempt, only the caller retransmits
 		b.schedule(&b.openings[tries-1], packet.Flow, e.acceptDue)
@@ -149,7 +149,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Revision: b.plan.Load().revision,
+		Position: b.plan.Load().position,
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: route.Priority, LatencyObjective: route.LatencyObjective, Timeout: route.Timeout,
 		},
@@ -188,12 +188,12 @@
 		case env.Intent == currantturn.IntentDeclined:
 			b.handleDeclined(now, p, route, t, &env.Packet, e, out)
 		case e.progress == searching:
-			e.recordDenial(t.entry.ID, env.Revision)
+			e.recordDenial(t.entry.ID, env.Position)
 			b.continueAfterDenial(now, p, route, env.Packet.Flow, e, out)
 		case e.holder != nil && e.holder.agent == from:
 			// Searching with the packet itself delivers it to the actual holder at once.
 			e.ensureSearch(now)
-			e.recordDenial(t.entry.ID, env.Revision)
+			e.recordDenial(t.entry.ID, env.Position)
 			b.forwardToHolder(now, p, route, &env.Packet, e, out)
 		}
 		return b.dropIfUndecided(e)
@@ -255,19 +255,23 @@
 // resetAndForget resets a flow that no backend server holds, unless it is closing, and
 // clears its entry.
 func (b *Balancer) resetAndForget(now time.Time, packet *currantturn.Packet, e *entry, reason string, out *currantturn.Effects) {
+	searched := time.Duration(0)
+	if !e.searchStarted.IsZero() {
+		searched = now.Sub(e.searchStarted)
+	}
 	closing := !e.closedAt.IsZero() || packet.Mark == currantturn.MarkReset || packet.Mark == currantturn.MarkClosing
 	*e = entry{lastActive: now}
 	if !closing {
-		b.sendReset(packet, reason, out)
+		b.sendReset(packet, reason, searched, out)
 	}
 }
 
-// sendReset sends the caller a reset, because its flow is refused or lost. A reset is
-// not answered with a reset.
-func (b *Balancer) sendReset(packet *currantturn.Packet, reason string, out *currantturn.Effects) {
+// sendReset sends the caller a reset, because its flow is refused or, after a search of
+// the given length, lost. A reset is not answered with a reset.
+func (b *Balancer) sendReset(packet *currantturn.Packet, reason string, searched time.Duration, out *currantturn.Effects) {
 	if packet.Mark == currantturn.MarkReset {
 		return
 	}
-	out.Event(event.FlowReset, event.F("flow", packet.Flow), event.F("reason", reason))
+	out.Event(event.FlowReset, event.F("flow", packet.Flow), event.F("reason", reason), event.F("searched", searched))
 	out.Answers = append(out.Answers, currantturn.Packet{Flow: packet.Flow, Mark: currantturn.MarkReset, Payload: b.opts.Codec.Reset(packet)})
 }
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -179,7 +179,7 @@
 		for flows.Len() > 0 {
 			var batch relay.Flows
 			batch, flows = flows.Cut(relay.MaxFlows)
-			out.Send(t.agent, relay.Query{Flows: batch, Revision: p.revision})
+			out.Send(t.agent, relay.Query{Flows: batch, Revision: p.position.Revision, Era: p.position.Era})
 		}
 	}
 	clear(b.queries)
@@ -259,7 +259,7 @@
 		b.handleHeld(now, key, t, false, out)
 	}
 	for key := range m.Absent.All() {
-		b.handleAbsent(now, key, t, m.Revision, out)
+		b.handleAbsent(now, key, t, m.Position(), out)
 	}
 	t.setForwards(m.Forwards)
 	for key := range m.Unsure.All() {
@@ -300,7 +300,7 @@
 
 // handleAbsent processes an agent's statement that it does not hold a flow. If the
 // agent was the recorded holder, a search starts.
-func (b *Balancer) handleAbsent(now time.Time, key currantturn.FlowKey, t *target, revision uint64, out *currantturn.Effects) {
+func (b *Balancer) handleAbsent(now time.Time, key currantturn.FlowKey, t *target, position currantturn.Position, out *currantturn.Effects) {
 	b.flows.Update(key, func(e *entry) *entry {
 		if e != nil && e.holder != nil && e.holder.agent == t.agent {
 			e.ensureSearch(now)
@@ -308,7 +308,7 @@
 		return e
 	})
 	b.updateSearch(key, func(p *plan, route *currantturn.FlowRoute, e *entry) {
-		e.recordDenial(t.entry.ID, revision)
+		e.recordDenial(t.entry.ID, position)
 		b.continueAfterDenial(now, p, route, key, e, out)
 	})
 }
@@ -344,10 +344,10 @@
 func (b *Balancer) finishIfAllRuledOut(
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) bool {
-	if p.provisional || !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
+	if p.provisional || p.placementHeld || !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
 		return false
 	}
-	if e.minRevision > p.revision {
+	if e.minPosition.After(p.position) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if len(b.deferred) < maxDeferredSearches {
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -74,6 +74,8 @@
 	recorded   time.Duration                  // how far back the published record of removals reaches
 	earlier    []routehistory.Entry           // services that the route used to lead to, in that record
 	noOverflow bool                           // balancers keep new flows on the service drawn by weight
+	held       bool                           // the state may come from a copy of the store, and nothing else is known
+	unverified bool                           // the state may contain registrations that the store no longer has
 	storeDown  bool                           // nothing is published, so that balancers only learn of announced agents
 	announced  []statesync.Announced          // agents that announced themselves to any balancer
 	drop       func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
@@ -280,7 +282,7 @@
 		return
 	}
 	s := statesync.State{
-		Revision: sim.revision, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier,
+		PlacementHeld: sim.held, Unverified: sim.unverified, Position: currantturn.Position{Revision: sim.revision}, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier,
 	}
 	for _, id := range sim.backendIDs() {
 		backend := sim.backends[id]
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -21,6 +21,9 @@
 	// unregistered is true for an announced agent without a registration. It is trusted
 	// for nothing but the flows that it reports to hold.
 	unregistered bool
+	// contested is true if another backend server may own the address. Its agent may hold
+	// flows, but gets no new ones.
+	contested bool
 
 	mu                 sync.Mutex
 	load               relay.Load
@@ -181,7 +184,7 @@
 		return t
 	}
 	previous := old.byAgent[agent]
-	if previous == nil || previous.entry.ID != e.ID || previous.entry.CreatedRevision != e.CreatedRevision || !previous.entry.StartedAt.Equal(e.StartedAt) {
+	if previous == nil || !previous.entry.SameIncarnation(&e.Registration) {
 		return t
 	}
 	previous.mu.Lock()
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -26,7 +26,7 @@
 	resumeWait = time.Millisecond
 	// minRecordGain is how much further back a peer's record of removals has to reach
 	// to be pulled.
-	minRecordGain = 5 * time.Second
+	minRecordGain = time.Second
 	// delegateSpeedup is how many times faster a balancer's link has to be for others to
 	// leave searches to it; the packets pass both links.
 	delegateSpeedup = 4
@@ -41,6 +41,15 @@
 	// missing although its backend server runs: about two seconds according to the
 	// platform.
 	lapseGrace = 2500 * time.Millisecond
+	// verifyDelay is how long after the store's return from a copy everything is read once
+	// more and taken as it is: copied registrations that nobody renews have lapsed by then.
+	// verifyJitter spreads the reads of all balancers.
+	verifyDelay  = time.Minute
+	verifyJitter = 5 * time.Second
+	// firstPeerTimeout is how long after its start a balancer waits for a peer's state before
+	// it places new flows by what it has read from a store that numbers its eras: an interval
+	// of heartbeats, and the time to pull.
+	firstPeerTimeout = heartbeatInterval + 100*time.Millisecond
 	// heartbeatFanout bounds the receivers of a periodic heartbeat.
 	heartbeatFanout = 8
 	// changeFanout bounds the receivers of the heartbeat that is sent at once after
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -31,16 +32,22 @@
 // State is what is published at one revision of the store, with what it recently
 // contained; it is never modified.
 type State struct {
-	Revision uint64               `cbor:"1,keyasint"`
-	Routing  *currantturn.Routing `cbor:"2,keyasint"` // nil if the reader already has it
-	Servers  []roster.Entry       `cbor:"3,keyasint"`
-	Version  currantturn.Version  `cbor:"4,keyasint"` // of the routing
+	currantturn.Position
+	Routing *currantturn.Routing `cbor:"2,keyasint"` // nil if the reader already has it
+	Servers []roster.Entry       `cbor:"3,keyasint"`
+	Version currantturn.Version  `cbor:"4,keyasint"` // of the routing
 	// RecordedMS is how far back the record of removals reaches: Servers contains the
 	// registrations and Earlier the services of routes that were removed since then.
 	RecordedMS uint32               `cbor:"5,keyasint,omitempty"`
 	Earlier    []routehistory.Entry `cbor:"6,keyasint,omitempty"`
 	// Announced are agents that may not be registered.
 	Announced []Announced `cbor:"7,keyasint,omitempty"`
+	// Unverified is true for a while after the store returned from a copy: Servers includes
+	// what was published before, and may contain what the store no longer has.
+	Unverified bool `cbor:"8,keyasint,omitempty"`
+	// PlacementHeld is true while new flows have to wait and no flow may be reset, because
+	// the state may come from a copy of the store and nothing else is known yet.
+	PlacementHeld bool `cbor:"-"`
 }
 
 // Recorded returns how far back the record of removals reaches.
@@ -97,7 +104,14 @@
 	// lapsedUntil is the time until which a backend server that runs may not be registered:
 	// after the first state, and after an outage of the store.
 	lapsedUntil      time.Time
-	failures         int // consecutive failed reads
+	era              uint64    // highest one seen in a response of the store or a peer's state
+	linkedEra        uint64    // last era for which the state includes what was published before it began; 0 if none
+	eraRevision      uint64    // first one of the present era that was in force here
+	verifyAt         time.Time // when to read everything once more after the era began; zero if done
+	startedAt        time.Time
+	heldUntil        time.Time        // when new flows are placed even without a peer's state
+	greet            []netip.AddrPort // peers that get a heartbeat with the next tick, because they were silent before
+	failures         int              // consecutive failed reads
 	peers            map[netip.AddrPort]peer
 	announced        map[netip.AddrPort]announcement // by link address of the agent
 	changed          []roster.Entry                  // by the last update; nil if more than that changed
@@ -116,7 +130,9 @@
 	Compacted   uint64 `json:"compacted"`  // watches whose start revision was compacted away
 	Pulls       uint64 `json:"pulls"`      // states taken from another balancer
 	Version     uint64 `json:"version"`    // configuration in force
+	Era         uint64 `json:"era"`        // store's era of the state in force; 0 if unknown
 	Revision    uint64 `json:"revision"`   // store's revision of the state in force
+	Restored    uint64 `json:"restored"`   // times that the store has returned from a copy
 	Unconfirmed uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
 	Peers       int    `json:"peers"`      // other balancers that are alive
 	Registered  int    `json:"registered"` // current registrations
@@ -131,7 +147,7 @@
 	defer f.mu.Unlock()
 	c := f.counts
 	c.Ages = f.ages.Summary()
-	c.Revision = f.state.Revision
+	c.Era, c.Revision = f.state.Era, f.state.Revision
 	if f.state.Routing != nil {
 		c.Version = uint64(f.state.Routing.Version)
 		c.Unconfirmed = uint64(max(now.Sub(f.confirmedAt), 0).Milliseconds())
@@ -153,6 +169,7 @@
 		servers:       roster.New(),
 		earlier:       routehistory.New(),
 		recordedSince: now,
+		startedAt:     now,
 		mustList:      true,
 		peers:         make(map[netip.AddrPort]peer),
 		announced:     make(map[netip.AddrPort]announcement),
@@ -174,8 +191,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.state
+	if f.servers.Lapsing() {
+		s.Servers = f.servers.Entries(now)
+	}
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
+	s.Unverified, s.PlacementHeld = f.verifying(), f.placementHeld(now)
 	if !f.usable() || now.Before(f.lapsedUntil) {
 		s.Announced = f.announcedAgents(now)
 	}
@@ -193,6 +214,9 @@
 			return Plan{Step: StepPause, Wait: retryAt.Sub(now)}
 		}
 	}
+	if f.verificationDue(now) {
+		return Plan{Step: StepList}
+	}
 	maxAge := f.opts.ApplyWithin / 2
 	if f.usable() && !f.isWatcher(now) && now.Sub(f.confirmedAt) < maxAge {
 		f.resumed = false
@@ -229,18 +253,27 @@
 func (f *Feed) ApplyListing(now, began time.Time, routing, servers currantturn.Listing, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(now, max(routing.Era, servers.Era), out)
+	if routing.Era != servers.Era || f.isLate(servers.Position) {
+		f.countFailure(now, errEarlierEra, out)
+		return
+	}
 	f.endOutage(now, out)
 	f.counts.Lists++
 	// With the lower revision, the watch repeats changes made between the two reads.
-	revision := min(routing.Revision, servers.Revision)
+	position := currantturn.Position{Era: servers.Era, Revision: min(routing.Revision, servers.Revision)}
 	f.mustList, f.resumed = false, true
-	if revision < f.state.Revision {
+	if f.state.After(position) {
 		return // a newer state came from a peer; the watch continues from its revision
 	}
-	if f.usable() && revision != f.state.Revision || !f.usable() && !f.opts.Fresh {
+	if !f.usable() {
+		f.holdPlacement()
+	}
+	if f.usable() && position != f.state.Position || !f.usable() && !f.opts.Fresh {
 		f.recordedSince = now // earlier changes may be missing
 	}
-	next := State{Revision: revision, Routing: f.state.Routing}
+	f.enterEra(position)
+	next := State{Position: position, Routing: f.state.Routing}
 	for _, item := range routing.Items {
 		f.setRouting(now, &next, item.Routing, out)
 	}
@@ -250,33 +283,43 @@
 			registrations = append(registrations, *item.Registration)
 		}
 	}
-	f.servers.Replace(now, registrations, f.trustedFrom)
+	f.replaceServers(now, registrations)
 	f.changed = nil
-	next.Servers = f.servers.Entries()
-	f.state, f.confirmedAt = next, began
+	next.Servers = f.servers.Entries(now)
+	f.state = next
+	f.confirmAt(began)
 }
 
 // ApplyChanges applies the changes that a watch returned.
 func (f *Feed) ApplyChanges(now time.Time, changes currantturn.Listing, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeEra(now, changes.Era, out)
+	if f.isLate(changes.Position) {
+		f.countFailure(now, errEarlierEra, out)
+		return
+	}
 	f.endOutage(now, out)
-	f.resumed = true
 	f.counts.Watches++
-	if changes.Revision < f.state.Revision {
+	if f.mustList {
+		return // the changes follow a revision of an earlier era
+	}
+	f.resumed = true
+	if f.state.After(changes.Position) {
 		return // a newer state came from a peer
 	}
-	next := State{Revision: changes.Revision, Routing: f.state.Routing, Servers: f.state.Servers}
+	next := State{Position: changes.Position, Routing: f.state.Routing, Servers: f.state.Servers}
 	for _, item := range changes.Items {
 		f.applyItem(now, item, &next, out)
 	}
-	next.Servers = f.servers.Entries()
-	f.keepChange(changes, &next)
-	f.state, f.confirmedAt = next, now
+	next.Servers = f.servers.Entries(now)
+	f.keepChange(now, changes, &next)
+	f.state = next
+	f.confirmAt(now)
 }
 
 // keepChange keeps the registrations of a small change for the next heartbeats.
-func (f *Feed) keepChange(changes currantturn.Listing, next *State) {
+func (f *Feed) keepChange(now time.Time, changes currantturn.Listing, next *State) {
 	f.changed, f.changedSince = nil, f.state.Revision
 	if next.Routing != f.state.Routing || len(changes.Items) > maxHeartbeatChanges {
 		return
@@ -286,7 +329,7 @@
 		if item.Registration != nil {
 			id = item.Registration.ID
 		}
-		if e, ok := f.servers.Get(id); ok {
+		if e, ok := f.servers.Get(now, id); ok {
 			f.changed = append(f.changed, e)
 		}
 	}
@@ -300,11 +343,11 @@
 	case item.Registration != nil:
 		f.servers.Put(*item.Registration)
 		out.Event(event.RegistrationSeen, event.F("backend", item.Registration.ID),
-			event.F("state", item.Registration.State), event.F("revision", next.Revision))
+			event.F("state", item.Registration.State), event.F("era", next.Era), event.F("revision", next.Revision))
 	default:
 		f.servers.Remove(now, item.Removed, f.trustedFrom)
 		out.Event(event.RegistrationGone, event.F("backend", item.Removed),
-			event.F("revision", next.Revision), event.F("trusted", !now.Before(f.trustedFrom)))
+			event.F("era", next.Era), event.F("revision", next.Revision), event.F("trusted", !now.Before(f.trustedFrom)))
 	}
 }
 
@@ -321,17 +364,25 @@
 	out.Event(event.RoutingInForce, event.F("version", uint64(r.Version)), event.F("routes", len(r.Routes)))
 }
 
-// RecordFailure records a failed read; compacted says that the store no longer
-// has the changes after the revision of the watch.
-func (f *Feed) RecordFailure(now time.Time, compacted bool, err error, out *currantturn.Effects) {
+// RecordFailure records a failed read, with the era of the store's response; 0 if there
+// was none. After currantturn.ErrCompacted, the store no longer has the changes after the
+// revision of the watch.
+func (f *Feed) RecordFailure(now time.Time, era uint64, err error, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.resumed = false
-	if compacted {
+	f.observeEra(now, era, out)
+	if errors.Is(err, currantturn.ErrCompacted) {
+		f.endOutage(now, out) // the store responds, so a complete read follows without backoff
 		f.mustList = true
 		f.counts.Compacted++
-		return // the store answers, so a complete read follows without backoff
+		return
 	}
+	f.countFailure(now, err, out)
+}
+
+// countFailure counts a read without a usable response.
+func (f *Feed) countFailure(now time.Time, err error, out *currantturn.Effects) {
 	if f.failures == 0 {
 		out.Event(event.StoreLost, event.F("error", err))
 	}
@@ -362,23 +413,39 @@
 		s.Routing = f.state.Routing
 	}
 	f.mergeAnnounced(now, s.Announced)
-	if s.Revision < f.state.Revision || s.Routing == nil {
+	if s.Routing == nil || f.fromEarlierEra(s.Position) {
+		return
+	}
+	f.observeEra(now, s.Era, out)
+	if s.Era == 0 {
+		s.Era = f.state.Era // of a process that does not know of eras
+	}
+	if f.lacksEarlierEra(s.Position, s.Unverified) {
+		f.learnEarlierEra(now, &s, out)
+	}
+	if f.state.After(s.Position) {
 		return
 	}
 	f.counts.Pulls++
+	f.heldUntil = time.Time{}
 	if !f.usable() {
 		f.lapsedUntil = now.Add(lapseGrace)
 	}
 	f.mustList = false
 	f.mergeRecord(now, &s)
-	if s.Revision == f.state.Revision {
-		f.state.Servers = f.servers.Entries()
+	if !s.After(f.state.Position) {
+		f.state.Servers = f.servers.Entries(now)
 		return
 	}
 	f.changed = nil
-	next := State{Revision: s.Revision, Routing: f.state.Routing}
+	f.enterEra(s.Position)
+	next := State{Position: s.Position, Routing: f.state.Routing}
 	f.setRouting(now, &next, s.Routing, out)
-	f.servers.Update(now, s.Servers)
-	next.Servers = f.servers.Entries()
+	if f.verifying() {
+		f.servers.Reconcile(now, s.Servers, f.eraRevision, f.trustedFrom)
+	} else {
+		f.servers.Update(now, s.Servers)
+	}
+	next.Servers = f.servers.Entries(now)
 	f.state = next
 }
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -31,12 +31,14 @@
 	version       currantturn.Version // of the published routing
 	revision      uint64              // of the store
 	servers       []currantturn.Registration
+	store         *history                // used in place of version, revision, servers and routes unless nil
 	calls         int                     // reads of the store
 	pulls         int                     // states read from another balancer
 	readRefused   func(n int) bool        // whether the store refuses a read by balancer n
 	emptyWatches  bool                    // watches return no changes
 	compacted     bool                    // watches fail until the reader has listed everything
 	routes        []currantturn.FlowRoute // of the published routing
+	withoutEras   func(n int) bool        // whether balancer n is a process that does not know of eras
 	heartbeatLost func(from, to int) bool // whether heartbeats from one balancer to another are lost
 	events        map[int]int             // events by number
 }
@@ -73,15 +75,27 @@
 	b.finishRead, b.last = nil, 0
 }
 
+// at returns an empty listing with a revision.
+func at(revision uint64) currantturn.Listing {
+	return currantturn.Listing{Position: currantturn.Position{Revision: revision}}
+}
+
+func (f *fleet) position() currantturn.Position {
+	if f.store != nil {
+		return f.store.Position
+	}
+	return currantturn.Position{Revision: f.revision}
+}
+
 func (f *fleet) routing() currantturn.Listing {
 	if f.version == 0 {
-		return currantturn.Listing{Revision: f.revision}
+		return currantturn.Listing{Position: f.position()}
 	}
-	return currantturn.Listing{Revision: f.revision, Items: []currantturn.Item{{Routing: &currantturn.Routing{Version: f.version, Routes: f.routes}}}}
+	return currantturn.Listing{Position: f.position(), Items: []currantturn.Item{{Routing: &currantturn.Routing{Version: f.version, Routes: f.routes}}}}
 }
 
 func (f *fleet) registrations() currantturn.Listing {
-	l := currantturn.Listing{Revision: f.revision}
+	l := currantturn.Listing{Position: f.position()}
 	for i := range f.servers {
 		l.Items = append(l.Items, currantturn.Item{Registration: &f.servers[i]})
 	}
@@ -126,8 +140,13 @@
 			if receiver.addr != s.To || f.heartbeatLost != nil && f.heartbeatLost(i, j) {
 				continue
 			}
-			if receiver.feed.HandleHeartbeat(f.now, b.addr, s.Message.(statesync.Heartbeat)) == statesync.OutcomePull {
-				receiver.feed.ApplyPulled(f.now, b.feed.State(f.now), &out)
+			h, state := s.Message.(statesync.Heartbeat), b.feed.State(f.now)
+			if f.ignoresEras(i) || f.ignoresEras(j) {
+				h.Era, h.Unverified = 0, false
+				state.Era, state.Unverified = 0, false
+			}
+			if receiver.feed.HandleHeartbeat(f.now, b.addr, h) == statesync.OutcomePull {
+				receiver.feed.ApplyPulled(f.now, state, &out)
 				f.pulls++
 			}
 		}
@@ -141,9 +160,13 @@
 	}
 }
 
+func (f *fleet) ignoresEras(n int) bool {
+	return f.withoutEras != nil && f.withoutEras(n)
+}
+
 // watchReturns reports whether a watch returns before its end because of a change.
 func (f *fleet) watchReturns(b *balancer) bool {
-	return !f.emptyWatches && b.feed.State(f.now).Revision < f.revision
+	return !f.emptyWatches && b.feed.State(f.now).Position != f.position()
 }
 
 // read starts the next read of balancer i.
@@ -155,8 +178,12 @@
 	}
 	f.calls++
 	b.readEnds = f.now.Add(readDelay)
+	if f.store != nil {
+		f.readHistory(b, plan, f.ignoresEras(i))
+		return
+	}
 	if f.readRefused != nil && f.readRefused(i) {
-		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, false, errors.New("refused"), out) }
+		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, 0, errors.New("refused"), out) }
 		return
 	}
 	began := f.now
@@ -166,22 +193,58 @@
 		return
 	}
 	if f.compacted && b.feed.State(f.now).Revision < f.revision {
-		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, true, errors.New("compacted"), out) }
+		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, 0, currantturn.ErrCompacted, out) }
 		return
 	}
 	b.readEnds = f.now.Add(plan.Wait)
 	b.finishRead = func(out *currantturn.Effects) {
-		l := currantturn.Listing{Revision: f.revision, Items: append(f.registrations().Items, f.removals(b)...)}
+		l := currantturn.Listing{Position: f.position(), Items: append(f.registrations().Items, f.removals(b)...)}
 		if r := b.feed.State(f.now).Routing; r == nil || r.Version != f.version {
 			l.Items = append(l.Items, f.routing().Items...)
 		}
 		if f.emptyWatches {
-			l = currantturn.Listing{Revision: plan.After}
+			l = currantturn.Listing{Position: currantturn.Position{Revision: plan.After}}
 		}
 		b.feed.ApplyChanges(f.now, l, out)
 	}
 }
 
+// readHistory starts a balancer's read of the store that keeps its changes.
+func (f *fleet) readHistory(b *balancer, plan statesync.Plan, withoutEras bool) {
+	if f.store.away {
+		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, 0, currantturn.ErrUnavailable, out) }
+		return
+	}
+	began, routing := f.now, f.store.listRouting()
+	if plan.Step == statesync.StepList {
+		f.calls++
+		b.finishRead = func(out *currantturn.Effects) {
+			servers := f.store.listServers()
+			if withoutEras {
+				routing.Era, servers.Era = 0, 0
+			}
+			b.feed.ApplyListing(f.now, began, routing, servers, out)
+		}
+		return
+	}
+	b.readEnds = f.now.Add(plan.Wait)
+	b.finishRead = func(out *currantturn.Effects) {
+		if f.store.away {
+			b.feed.RecordFailure(f.now, 0, currantturn.ErrUnavailable, out)
+			return
+		}
+		l, err := f.store.watch(plan.After)
+		if withoutEras {
+			l.Era = 0
+		}
+		if err != nil {
+			b.feed.RecordFailure(f.now, l.Era, err, out)
+		} else {
+			b.feed.ApplyChanges(f.now, l, out)
+		}
+	}
+}
+
 // publish stores a newer version of the routing.
 func (f *fleet) publish() {
 	f.version += 3
@@ -318,7 +381,7 @@
 		b := f.balancers[0]
 		Expect(b.feed.Next(f.now).Step).To(Equal(statesync.StepWatch))
 		var out currantturn.Effects
-		b.feed.RecordFailure(f.now, true, errors.New("gone"), &out)
+		b.feed.RecordFailure(f.now, 0, currantturn.ErrCompacted, &out)
 		Expect(b.feed.Next(f.now).Step).To(Equal(statesync.StepList))
 		Expect(out.Events).To(BeEmpty())
 	})
@@ -376,6 +439,25 @@
 		Expect(placeable()).To(Equal(1))
 	})
 
+	// Watchers spread the removal before they know whether the registration returns.
+	It("no longer contains a registration that lapsed in an outage at any balancer", func() {
+		f := newFleet(12)
+		f.servers = append(f.servers, currantturn.Registration{ID: "b", State: currantturn.BackendActive})
+		f.run(3 * time.Second)
+		f.readRefused = func(int) bool { return true }
+		f.run(2 * time.Second)
+		f.readRefused = nil
+		f.run(500 * time.Millisecond)
+		f.servers = f.servers[:1]
+		f.revision++
+		f.run(8 * time.Second)
+		for i, b := range f.balancers {
+			for _, e := range b.feed.State(f.now).Servers {
+				Expect(e.Placeable()).To(Equal(e.ID == "a"), "balancer %d, %s", i, e.ID)
+			}
+		}
+	})
+
 	Describe("with a record of removals", func() {
 		leadingTo := func(service currantturn.ServiceName) []currantturn.FlowRoute {
 			return []currantturn.FlowRoute{{
@@ -436,7 +518,7 @@
 			fresh := statesync.New(f.now, statesync.Options{ApplyWithin: applyWithin, Fresh: true})
 			var out currantturn.Effects
 			for range 2 { // until the first configuration is published, the listing is empty
-				fresh.ApplyListing(f.now, f.now, currantturn.Listing{Revision: 1}, currantturn.Listing{Revision: 1}, &out)
+				fresh.ApplyListing(f.now, f.now, at(1), at(1), &out)
 				fresh.ApplyListing(f.now, f.now, f.routing(), f.registrations(), &out)
 			}
 			s := fresh.State(f.now)
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -10,7 +10,7 @@
 
 // Heartbeat describes the state in force at its sender to another balancer.
 type Heartbeat struct {
-	Revision uint64              `cbor:"1,keyasint"`
+	currantturn.Position
 	Version  currantturn.Version `cbor:"2,keyasint"` // of the routing, 0 without one
 	AgeMS    uint32              `cbor:"3,keyasint"` // time since the store confirmed that state
 	Peers    []netip.AddrPort    `cbor:"4,keyasint"` // link addresses of other balancers
@@ -24,6 +24,7 @@
 	RecordedMS uint32 `cbor:"8,keyasint,omitempty"`
 	Searches   bool   `cbor:"9,keyasint,omitempty"`  // whether the sender takes searches from other balancers
 	Announced  uint32 `cbor:"10,keyasint,omitempty"` // agents that announced themselves to the sender or its peers
+	Unverified bool   `cbor:"11,keyasint,omitempty"` // as in State
 }
 
 // Kind returns the kind of the message on the wire.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -56,6 +56,9 @@
 func (f *Feed) HandleHeartbeat(now time.Time, from netip.AddrPort, h Heartbeat) Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if now.Sub(f.peers[from].lastReceived) >= peerTimeout && len(f.greet) < heartbeatFanout {
+		f.greet = append(f.greet, from)
+	}
 	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity, searches: h.Searches}
 	for _, p := range h.Peers {
 		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
@@ -63,15 +66,15 @@
 		}
 	}
 	switch {
-	case f.needsAnnounced(int(h.Announced)):
+	case f.needsAnnounced(int(h.Announced)), f.lacksEarlierEra(h.Position, h.Unverified):
 		return OutcomePull
-	case h.Version == 0 || h.Revision < f.state.Revision:
+	case h.Version == 0 || f.fromEarlierEra(h.Position) || f.state.After(h.Position):
 		return OutcomeNone // a recent confirmation of an older state confirms nothing here
-	case h.Revision > f.state.Revision:
-		if h.Since != f.state.Revision || h.Version != f.state.RoutingVersion() || len(h.Changed) == 0 {
+	case h.After(f.state.Position):
+		if h.Era != f.state.Era || h.Since != f.state.Revision || h.Version != f.state.RoutingVersion() || len(h.Changed) == 0 {
 			return OutcomePull
 		}
-		f.applyChange(h)
+		f.applyChange(now, h)
 		f.confirm(now, h.AgeMS)
 		return OutcomeChanged
 	}
@@ -83,11 +86,11 @@
 }
 
 // applyChange applies the small change in a peer's heartbeat.
-func (f *Feed) applyChange(h Heartbeat) {
+func (f *Feed) applyChange(now time.Time, h Heartbeat) {
 	for _, e := range h.Changed {
-		f.servers.Adopt(e)
+		f.servers.Adopt(now, e)
 	}
-	f.state = State{Revision: h.Revision, Routing: f.state.Routing, Servers: f.servers.Entries()}
+	f.state = State{Position: h.Position, Routing: f.state.Routing, Servers: f.servers.Entries(now)}
 	f.changed, f.changedSince = h.Changed, h.Since
 }
 
@@ -95,7 +98,7 @@
 // unless a later confirmation is known.
 func (f *Feed) confirm(now time.Time, ageMS uint32) {
 	if at := now.Add(-time.Duration(ageMS) * time.Millisecond); at.After(f.confirmedAt) {
-		f.confirmedAt = at
+		f.confirmAt(at)
 	}
 }
 
@@ -104,15 +107,23 @@
 func (f *Feed) Tick(now time.Time, out *currantturn.Effects) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.servers.Expire(now) {
-		f.state.Servers = f.servers.Entries()
+	if f.servers.Expire(now, f.confirmedAt) {
+		f.state.Servers = f.servers.Entries(now)
 		changed = true
 	}
 	changed = f.expireAnnounced(now) || changed
+	if !f.heldUntil.IsZero() && !f.placementHeld(now) {
+		f.heldUntil = time.Time{}
+		changed = true
+	}
 	if !f.lapsedUntil.IsZero() && !now.Before(f.lapsedUntil) {
 		f.lapsedUntil = time.Time{}
 		changed = changed || len(f.announced) > 0
 	}
+	for _, addr := range f.greet {
+		out.Send(addr, f.heartbeat(now, nil))
+	}
+	f.greet = f.greet[:0]
 	if now.Sub(f.lastHeartbeat) >= heartbeatInterval {
 		if f.state.Routing != nil {
 			f.ages.Record(now.Sub(f.confirmedAt))
@@ -183,13 +194,18 @@
 	}
 	slices.SortFunc(receivers, netip.AddrPort.Compare)
 	f.rng.Shuffle(len(receivers), func(i, j int) { receivers[i], receivers[j] = receivers[j], receivers[i] })
-	h := Heartbeat{
-		Revision: f.state.Revision, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
-		Peers: receivers[:min(len(receivers), maxHeartbeatPeers)], Since: f.changedSince, Changed: f.changed,
-	}
-	h.RecordedMS, h.Searches, h.Announced = f.recordedMS(now), true, uint32(len(f.announced))
-	h.AgeMS = uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds())
+	h := f.heartbeat(now, receivers[:min(len(receivers), maxHeartbeatPeers)])
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
 		out.Send(addr, h)
 	}
 }
+
+// heartbeat returns a heartbeat with the present state and the addresses of peers.
+func (f *Feed) heartbeat(now time.Time, peers []netip.AddrPort) Heartbeat {
+	return Heartbeat{
+		Position: f.state.Position, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
+		Peers: peers, Since: f.changedSince, Changed: f.changed,
+		RecordedMS: f.recordedMS(now), Searches: true, Announced: uint32(len(f.announced)), Unverified: f.verifying(),
+		AgeMS: uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds()),
+	}
+}
--- a/internal/coordination/statesync/record.go
+++ b/internal/coordination/statesync/record.go
@@ -30,14 +30,14 @@
 // mergeRecord adds the record in a peer's state, which is not older than the own
 // state, to the own record.
 func (f *Feed) mergeRecord(now time.Time, s *State) {
-	f.servers.AdoptGone(s.Servers)
+	f.servers.AdoptGone(now, s.Servers)
 	complete := f.earlier.Merge(now, s.Earlier)
 	theirs := now.Add(-s.Recorded())
 	switch known := f.usable(); {
 	case !complete:
 		f.recordedSince = now
 	case !known && f.opts.Fresh:
-	case !known, s.Revision > f.state.Revision && theirs.After(f.confirmedAt):
+	case !known, s.After(f.state.Position) && theirs.After(f.confirmedAt):
 		// Nobody recorded the changes between the own state and the start of the
 		// peer's record.
 		f.recordedSince = theirs
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -194,7 +193,7 @@
 	b.node.decide(func(now time.Time, out *currantturn.Effects) {
 		b.feed.ApplyPulled(now, pulled, out)
 		b.stateChanged.Store(true)
-		out.Event(event.StatePulled, event.F("peer", peer), event.F("revision", pulled.Revision))
+		out.Event(event.StatePulled, event.F("peer", peer), event.F("era", pulled.Era), event.F("revision", pulled.Revision))
 	})
 }
 
@@ -206,7 +205,7 @@
 			b.listStore(ctx)
 		case statesync.StepWatch:
 			changes, err := b.opts.Store.Watch(ctx, next.After, next.Wait)
-			b.applyRead(err, func(now time.Time, out *currantturn.Effects) {
+			b.applyRead(changes.Era, err, func(now time.Time, out *currantturn.Effects) {
 				b.feed.ApplyChanges(now, changes, out)
 			}, len(changes.Items) > 0)
 		default:
@@ -219,24 +218,28 @@
 func (b *FlowBalancer) listStore(ctx context.Context) {
 	started := b.node.clock()
 	routing, err := b.opts.Store.Configuration(ctx)
+	era := routing.Era
 	if err == nil {
 		var registrations currantturn.Listing
-		if registrations, err = b.opts.Store.Registrations(ctx); err == nil {
-			b.applyRead(nil, func(now time.Time, out *currantturn.Effects) {
+		registrations, err = b.opts.Store.Registrations(ctx)
+		era = registrations.Era
+		if err == nil {
+			b.applyRead(era, nil, func(now time.Time, out *currantturn.Effects) {
 				b.feed.ApplyListing(now, started, routing, registrations, out)
 			}, true)
 			return
 		}
 	}
-	b.applyRead(err, nil, false)
+	b.applyRead(era, err, nil, false)
 }
 
-// applyRead passes the result of a read to the feed. If it changed something, the
+// applyRead passes the result of a read, with the era of the store's response, to the
+// feed. If it changed something, the
 // next tick puts that in force, and heartbeats are sent at once.
-func (b *FlowBalancer) applyRead(err error, apply func(time.Time, *currantturn.Effects), changed bool) {
+func (b *FlowBalancer) applyRead(era uint64, err error, apply func(time.Time, *currantturn.Effects), changed bool) {
 	b.node.decide(func(now time.Time, out *currantturn.Effects) {
 		if err != nil {
-			b.feed.RecordFailure(now, errors.Is(err, currantturn.ErrCompacted), err, out)
+			b.feed.RecordFailure(now, era, err, out)
 			return
 		}
 		apply(now, out)
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -31,7 +31,7 @@
 	if s.down.Load() {
 		return currantturn.Listing{}, currantturn.ErrUnavailable
 	}
-	return currantturn.Listing{Revision: 5, Items: items}, nil
+	return currantturn.Listing{Position: currantturn.Position{Revision: 5}, Items: items}, nil
 }
 
 func (s *flowStore) Configuration(context.Context) (currantturn.Listing, error) {
--- a/internal/event/flow.go
+++ b/internal/event/flow.go
@@ -16,7 +16,7 @@
 )
 
 var flowDefinitions = []Definition{
-	{FlowPlaced, "flow_placed", Debug, "flow was placed on a backend server", fields("flow service backend reason load version revision tries")},
+	{FlowPlaced, "flow_placed", Debug, "flow was placed on a backend server", fields("flow service backend reason load version era revision tries")},
 	{FlowRedirected, "flow_redirected", Debug, "flow was placed on another backend server; its packets are redirected there", fields("flow service backend")},
 	{FlowSearchStarted, "flow_search_started", Debug, "search for an unknown flow started among the agents of its service", fields("flow service version")},
 	{FlowAdopted, "flow_adopted", Info, "flow was adopted after a search found no holder", fields("flow service backend")},
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -13,17 +13,19 @@
 	StoreWatched           = 808
 	StoreLeftToOthers      = 809
 	AgentsAnnounced        = 810
+	StoreRestored          = 811
 )
 
 var stateSyncDefinitions = []Definition{
 	{StoreLost, "store_lost", Warning, "store cannot be read; retrying", fields("error")},
 	{StoreRegained, "store_regained", Info, "store can be read again", fields("failures")},
 	{RoutingInForce, "routing_in_force", Info, "published configuration is in force", fields("version routes")},
-	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state revision")},
-	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; if not trusted, it may have lapsed during a store outage and come back", fields("backend revision trusted")},
+	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state era revision")},
+	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; if not trusted, it may have lapsed during a store outage and come back", fields("backend era revision trusted")},
 	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed", fields("key error")},
-	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer revision version")},
+	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer era revision version")},
 	{StoreWatched, "store_watched", Info, "balancer watches the store: too few live balancers rank ahead of it by link capacity", fields("peers age")},
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
+	{StoreRestored, "store_restored", Warning, "store returned from a copy: its revisions are given out again, and what it says is compared with what was known", fields("era earlier revision age")},
 	{AgentsAnnounced, "agents_announced", Warning, "nothing is published yet; flows are searched for among agents that announced themselves, and new ones go only to agents that hold flows of their address", fields("agents")},
 }
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -26,7 +27,7 @@
 	objectiveOffset   = 4  // milliseconds, 2 bytes, big-endian
 	timeoutOffset     = 6  // milliseconds, 2 bytes, big-endian
 	revisionOffset    = 8  // 8 bytes, big-endian
-	reservedOffset    = 16 // 4 bytes, sent as 0 and not read
+	eraOffset         = 16 // 4 bytes, big-endian
 	nameLengthOffset  = 20
 	packetHeaderBytes = 21
 
@@ -64,8 +65,8 @@
 	)
 	dst = binary.BigEndian.AppendUint16(dst, clampedMS(e.Demand.LatencyObjective))
 	dst = binary.BigEndian.AppendUint16(dst, clampedMS(e.Demand.Timeout))
-	dst = binary.BigEndian.AppendUint64(dst, e.Revision)
-	dst = binary.BigEndian.AppendUint32(dst, 0) // reservedOffset
+	dst = binary.BigEndian.AppendUint64(dst, e.Position.Revision)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(min(e.Position.Era, math.MaxUint32)))
 	dst = append(append(dst, byte(len(name))), name...)
 	return append(dst, e.Packet.Payload...)
 }
@@ -157,7 +158,8 @@
 		LatencyObjective: time.Duration(binary.BigEndian.Uint16(frame[objectiveOffset:])) * time.Millisecond,
 		Timeout:          time.Duration(binary.BigEndian.Uint16(frame[timeoutOffset:])) * time.Millisecond,
 	}
-	e.Revision = binary.BigEndian.Uint64(frame[revisionOffset:])
+	e.Position.Revision = binary.BigEndian.Uint64(frame[revisionOffset:])
+	e.Position.Era = uint64(binary.BigEndian.Uint32(frame[eraOffset:]))
 	name := frame[packetHeaderBytes : packetHeaderBytes+int(frame[nameLengthOffset])]
 	if string(name) == string(ownService) {
 		e.Service = ownService
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -24,7 +24,7 @@
 		sent := currantturn.Envelope{
 			Intent: intent, Service: "verify", Packet: currantturn.Packet{Payload: []byte("packet")},
 			Demand:   currantturn.Demand{Slots: 3, Priority: 1, LatencyObjective: 150 * time.Millisecond, Timeout: time.Second},
-			Revision: 1 << 40,
+			Position: currantturn.Position{Era: 3, Revision: 1 << 40},
 		}
 		var got currantturn.Envelope
 		m, err := relay.Decode(relay.AppendPacket(nil, &sent), "other", &got)
@@ -70,8 +70,8 @@
 		Expect(got).To(Equal(sent))
 	},
 		Entry(nil, relay.Accepted{Flow: flow, Load: relay.Load{Running: 3, Flows: 40, ServiceTimeUS: 22000, Waiting: 7}}),
-		Entry(nil, relay.Query{Flows: relay.Flows{}.Append(flow.Key(), 7), Revision: 3}),
-		Entry(nil, relay.QueryReply{Held: relay.Flows{}.Append(flow.Key(), 7), Revision: 3}),
+		Entry(nil, relay.Query{Flows: relay.Flows{}.Append(flow.Key(), 7), Revision: 3, Era: 2}),
+		Entry(nil, relay.QueryReply{Held: relay.Flows{}.Append(flow.Key(), 7), Revision: 3, Era: 2}),
 		Entry(nil, relay.Held{Flow: flow}), Entry(nil, relay.Absent{Flow: flow}),
 		Entry(nil, relay.Report{Load: relay.Load{Unresponsive: true}}),
 		Entry(nil, relay.Announce{Service: "verify", FailureDomain: "hall-a"}),
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -52,7 +52,13 @@
 // Query requests an agent to report which of the listed flows it holds.
 type Query struct {
 	Flows    Flows  `cbor:"1,keyasint"`
-	Revision uint64 `cbor:"2,keyasint"` // newest revision of the published state that the balancer has received
+	Revision uint64 `cbor:"2,keyasint"` // of the newest published state that the balancer has received
+	Era      uint64 `cbor:"20,keyasint,omitempty"`
+}
+
+// Position returns the position of the newest state that the sender has received.
+func (q *Query) Position() currantturn.Position {
+	return currantturn.Position{Era: q.Era, Revision: q.Revision}
 }
 
 // Kind returns the name of the message kind on the wire.
@@ -65,11 +71,17 @@
 	// Unsure lists flows that may have begun before the agent started, so that only
 	// a packet of the flow shows whether the backend server holds it.
 	Unsure   Flows  `cbor:"3,keyasint,omitempty"`
-	Revision uint64 `cbor:"4,keyasint"` // newest revision of the published state that the agent has received
+	Revision uint64 `cbor:"4,keyasint"` // of the newest published state that the agent has received
+	Era      uint64 `cbor:"20,keyasint,omitempty"`
 	// Forwards is true if the agent forwards search packets to other agents.
 	Forwards bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Position returns the position of the newest state that the sender has received.
+func (r *QueryReply) Position() currantturn.Position {
+	return currantturn.Position{Era: r.Era, Revision: r.Revision}
+}
+
 // Kind returns the name of the message kind on the wire.
 func (QueryReply) Kind() currantturn.Kind { return "answer" }
 
@@ -86,7 +98,13 @@
 // server does not hold the flow.
 type Absent struct {
 	Flow     Flow   `cbor:"1,keyasint"`
-	Revision uint64 `cbor:"2,keyasint"` // newest revision of the published state that the agent has received
+	Revision uint64 `cbor:"2,keyasint"` // of the newest published state that the agent has received
+	Era      uint64 `cbor:"20,keyasint,omitempty"`
+}
+
+// Position returns the position of the newest state that the sender has received.
+func (a *Absent) Position() currantturn.Position {
+	return currantturn.Position{Era: a.Era, Revision: a.Revision}
 }
 
 // Kind returns the name of the message kind on the wire.
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -42,6 +42,8 @@
 		})
 	case Configure:
 		r.operator.configure(time.Now())
+	case RestoreStore:
+		r.restoreStore(ctx, f)
 	}
 	return nil
 }
@@ -172,3 +174,15 @@
 		end()
 	}, disturbed)
 }
+
+// restoreStore lets the store return from a copy, after an outage whose length follows
+// from the copy's age.
+func (r *run) restoreStore(ctx context.Context, f Fault) {
+	c := r.operator.store.Copy()
+	pause.For(ctx, f.Duration)
+	r.applyStoreFault(ctx, Fault{Kind: StoreMode, Variant: string(platformtest.Down), Duration: f.Duration % maxRestoreOutage})
+	r.withDisturbance(func() {
+		r.operator.store.Return(c)
+		r.operator.writeAgain(ctx)
+	}, storeSubject)
+}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -37,7 +37,8 @@
 	index   int
 	checker *checker
 
-	replacing sync.Mutex // held by the fault that replaces the instance
+	replacing   sync.Mutex // held by the fault that replaces the instance
+	registering sync.Mutex // held while the instance or its draining and its registration change
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -80,6 +81,16 @@
 	vm.current.drainingSince = now
 }
 
+// registrationState returns the state that the running instance registers.
+func (vm *backendVM) registrationState() string {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	if vm.current.drainingSince.IsZero() {
+		return "ready"
+	}
+	return "draining"
+}
+
 func (vm *backendVM) instance() *instance {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -142,7 +142,7 @@
 				seen[f.Kind] = true
 			}
 		}
-		Expect(seen).To(HaveLen(len(kindWeights)))
+		Expect(seen).To(HaveLen(len(kindWeights)+1), "the weighted kinds and RestoreStore")
 	})
 })
 
--- a/internal/soak/constants.go
+++ b/internal/soak/constants.go
@@ -21,6 +21,9 @@
 	// the last, and their number. Both must be reached for a violation.
 	strayDuration = 2 * time.Second
 	strayPackets  = 3
+	// rewriteWithin bounds the time until the operator and the backend servers have written
+	// again what a store lost that returned from a copy.
+	rewriteWithin = 2 * time.Second
 	// stopWithin bounds a planned stop.
 	stopWithin = 6 * time.Second
 )
@@ -52,6 +55,12 @@
 	startTimeout = 20 * time.Second
 	// faultInterval is the mean time between the starts of successive faults.
 	faultInterval = 700 * time.Millisecond
+	// restoreInterval is the mean time between the store's returns from a copy.
+	restoreInterval = 6 * time.Second
+	// maxCopyAge is the greatest age of such a copy; maxRestoreOutage is the longest time
+	// that the store is away before it returns.
+	maxCopyAge       = 5 * time.Second
+	maxRestoreOutage = time.Second
 	// maxFaultDuration exceeds faultInterval, so that faults overlap.
 	maxFaultDuration = 3 * time.Second
 	// slotsPerBackend, minWork and maxWork give backend servers a capacity of which
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -32,6 +32,7 @@
 	CrashBackend  Kind = "crash_backend"  // a backend server loses its state and restarts
 	ReuseBackend  Kind = "reuse_backend"  // a backend server is drained; one of another service takes its address
 	Configure     Kind = "configure"      // a new version routes new flows to another service
+	RestoreStore  Kind = "restore_store"  // the store returns from a copy as old as the fault's duration
 )
 
 // kindWeights are the relative frequencies of the kinds.
@@ -97,10 +98,27 @@
 		f.Variant = chooseVariant(f.Kind, rng)
 		all = append(all, f)
 	}
+	all = append(all, scheduleRestores(seed, within)...)
 	slices.SortStableFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
 
+// scheduleRestores returns the returns of the store from a copy, one after the other. They
+// have random numbers of their own, so that the other faults of a seed stay as they were
+// before this kind was added.
+func scheduleRestores(seed uint64, within time.Duration) (all []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 18))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.Int64N(int64(2 * restoreInterval)))
+		age := 200*time.Millisecond + time.Duration(rng.Int64N(int64(maxCopyAge)))
+		if at+age > within {
+			return all
+		}
+		all = append(all, Fault{At: at, Duration: age, Kind: RestoreStore})
+		at += age + maxRestoreOutage + rewriteWithin
+	}
+}
+
 // chooseVariant returns the empty string for kinds without variants.
 func chooseVariant(k Kind, rng *rand.Rand) string {
 	pick := func(all ...string) string { return all[rng.IntN(len(all))] }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -21,6 +21,8 @@
 
 	mu         sync.Mutex
 	version    uint64 // of the current configuration
+	current    platformtest.Configuration
+	sequence   uint64 // of the last registration
 	lastSerial int    // number of the last instance
 }
 
@@ -44,6 +46,7 @@
 			TargetLatencyMS: 200, TimeoutMS: int(requestTimeout.Milliseconds()), Priority: 1,
 		})
 	}
+	o.current = c
 	o.store.Configure(c)
 	o.checker.recordVersion(version{
 		number: o.version, acknowledged: now, routes: map[netip.AddrPort]int{reroutedService: to, fixedService: 0},
@@ -69,9 +72,13 @@
 }
 
 func (o *operator) register(b *instance, state string) {
+	o.mu.Lock()
+	o.sequence++
+	sequence := o.sequence
+	o.mu.Unlock()
 	o.store.Register(b.id, platformtest.Registration{
 		Service: serviceName(b.service), Address: o.net.address(agentProxyNet, b.vm, backendPort).String(),
-		Zone: failureDomain(b.vm), MaxConcurrency: slotsPerBackend, State: state, Born: b.started.UnixMilli(),
+		Zone: failureDomain(b.vm), MaxConcurrency: slotsPerBackend, State: state, Sequence: sequence, Born: b.started.UnixMilli(),
 	})
 }
 
@@ -88,16 +95,17 @@
 	previous := vm.instance()
 	endDisturbance := o.checker.beginDisturbance(backendSubject(f.Agent))
 	defer func() { endDisturbance(time.Now()) }()
+	vm.registering.Lock()
 	vm.stop()
+	vm.registering.Unlock()
 	pause.For(ctx, f.Duration)
 	b := o.newInstance(time.Now(), previous.vm, previous.service)
 	if f.Variant == "same_id" {
 		b = o.restartedInstance(time.Now(), previous)
 	}
-	if err := vm.start(b); err != nil {
+	if err := o.start(vm, b); err != nil {
 		return err
 	}
-	o.register(b, "ready")
 	if b.id != previous.id {
 		pause.For(ctx, registrationTimeout)
 		o.store.Remove(previous.id)
@@ -114,13 +122,17 @@
 	}
 	defer vm.replacing.Unlock()
 	previous := vm.instance()
+	vm.registering.Lock()
 	o.register(previous, "draining")
 	vm.markDraining(time.Now())
+	vm.registering.Unlock()
 	pause.For(ctx, drainWithin+serveAfterDrain+f.Duration)
 	endDisturbance := o.checker.beginDisturbance(backendSubject(f.Agent))
 	defer func() { endDisturbance(time.Now()) }()
+	vm.registering.Lock()
 	vm.stop()
 	o.store.Remove(previous.id)
+	vm.registering.Unlock()
 	pause.For(ctx, addressReuseDelay)
 	b := o.newInstance(time.Now(), previous.vm, (previous.service+1)%serviceCount)
 	if o.isLastOf(previous.service, previous.vm) {
@@ -129,10 +141,9 @@
 	if err := changeService(b.service); err != nil {
 		return err
 	}
-	if err := vm.start(b); err != nil {
+	if err := o.start(vm, b); err != nil {
 		return err
 	}
-	o.register(b, "ready")
 	return nil
 }
 
@@ -145,3 +156,50 @@
 	}
 	return true
 }
+
+// writeAgain writes the configuration and the registrations of running backend servers
+// again, within rewriteWithin, after the store has returned from a copy. Registrations of
+// backend servers that have ended lapse meanwhile.
+func (o *operator) writeAgain(ctx context.Context) {
+	interval := rewriteWithin / time.Duration(len(o.vms)+1)
+	for _, vm := range o.vms {
+		vm.registering.Lock()
+		if b := vm.instance(); b != nil {
+			o.register(b, vm.registrationState())
+		}
+		vm.registering.Unlock()
+		pause.For(ctx, interval)
+	}
+	o.mu.Lock()
+	o.store.Configure(o.current)
+	o.mu.Unlock()
+	o.removeLapsed()
+}
+
+// removeLapsed removes the registrations of backend servers that do not run.
+func (o *operator) removeLapsed() {
+	running := make(map[string]bool)
+	for _, vm := range o.vms {
+		vm.registering.Lock()
+		defer vm.registering.Unlock()
+		if b := vm.instance(); b != nil {
+			running[b.id] = true
+		}
+	}
+	for _, id := range o.store.Registered() {
+		if !running[id] {
+			o.store.Remove(id)
+		}
+	}
+}
+
+// start starts a backend server and registers it.
+func (o *operator) start(vm *backendVM, b *instance) error {
+	vm.registering.Lock()
+	defer vm.registering.Unlock()
+	if err := vm.start(b); err != nil {
+		return err
+	}
+	o.register(b, "ready")
+	return nil
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -16,6 +16,9 @@
 	// WasDraining reports whether the backend server was draining when its
 	// registration was removed, that is, whether it had announced its end.
 	WasDraining bool `cbor:"10,keyasint"`
+	// LapsesIn is how long after the entry was read from a roster it counts as gone, unless
+	// its registration returns; 0 if the store has it.
+	LapsesIn time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // Placeable reports whether new flows may be placed on the backend server.
@@ -47,8 +50,12 @@
 }
 
 // Adopt stores an entry from another roster.
-func (r *Roster) Adopt(e Entry) {
+func (r *Roster) Adopt(now time.Time, e Entry) {
 	delete(r.pendingUntil, e.ID)
+	if e.LapsesIn > 0 {
+		r.pendingUntil[e.ID] = now.Add(e.LapsesIn)
+	}
+	e.LapsesIn = 0
 	r.entries[e.ID] = &e
 }
 
@@ -63,9 +70,7 @@
 		return
 	}
 	if now.Before(trustedFrom) && e.State != currantturn.BackendDraining {
-		if _, pending := r.pendingUntil[id]; !pending {
-			r.pendingUntil[id] = trustedFrom
-		}
+		r.pendingUntil[id] = trustedFrom
 		return
 	}
 	r.markGone(now, e)
@@ -94,12 +99,70 @@
 	}
 }
 
-// Expire marks registrations as gone that have not reappeared in time, and
-// deletes entries that have been gone for longer than GoneRetention. It reports
-// whether any entry changed.
-func (r *Roster) Expire(now time.Time) (changed bool) {
+// Reconcile applies entries that may be older than the own ones, such as a listing of a
+// store that returned from a copy. An own entry stays unless the other one is later or
+// was created after a revision that the store has given out since. An own entry without
+// another one is handled as by Remove.
+func (r *Roster) Reconcile(now time.Time, all []Entry, since uint64, trustedFrom time.Time) {
+	r.Learn(now, all)
+	for i := range all {
+		if all[i].Gone.IsZero() && all[i].CreatedRevision > since && !r.entries[all[i].ID].Gone.IsZero() {
+			r.Adopt(now, all[i])
+		}
+	}
+	listed := make(map[currantturn.BackendID]bool, len(all))
+	for i := range all {
+		id := all[i].ID
+		listed[id] = true
+		if all[i].LapsesIn == 0 {
+			delete(r.pendingUntil, id)
+		} else if r.entries[id].Gone.IsZero() {
+			r.pendingUntil[id] = now.Add(all[i].LapsesIn)
+		}
+	}
+	for id := range r.entries {
+		if !listed[id] {
+			r.Remove(now, id, trustedFrom)
+		}
+	}
+}
+
+// Learn adds the entries that are missing in this roster or later than the own ones.
+func (r *Roster) Learn(now time.Time, all []Entry) {
+	for i := range all {
+		if own := r.entries[all[i].ID]; own == nil || all[i].laterThan(own) {
+			r.Adopt(now, all[i])
+		}
+	}
+}
+
+// laterThan reports whether e is certainly later than another entry of the same backend
+// server. Revisions don't show that: the store may have given them out twice. Nor does
+// the sequence show that a removed registration was written again, since the store
+// doesn't report all writes.
+func (e *Entry) laterThan(other *Entry) bool {
+	if !e.StartedAt.IsZero() && !other.StartedAt.IsZero() && !e.StartedAt.Equal(other.StartedAt) {
+		return e.StartedAt.After(other.StartedAt)
+	}
+	switch {
+	case !other.Gone.IsZero():
+		return false
+	case !e.Gone.IsZero():
+		return true
+	case e.Sequence != other.Sequence:
+		return e.Sequence > other.Sequence
+	default:
+		return e.State == currantturn.BackendDraining
+	}
+}
+
+// Expire marks registrations as gone that have not reappeared in time, and deletes
+// entries that have been gone for longer than GoneRetention. A registration can reappear
+// only while the store is available, so the store must have confirmed the roster shortly
+// before; confirmedAt is the last time. Expire reports whether any entry changed.
+func (r *Roster) Expire(now, confirmedAt time.Time) (changed bool) {
 	for id, deadline := range r.pendingUntil {
-		if !now.Before(deadline) {
+		if !now.Before(deadline) && !confirmedAt.Before(deadline.Add(-maxConfirmationAge)) {
 			r.markGone(now, r.entries[id])
 			changed = true
 		}
@@ -114,18 +177,36 @@
 }
 
 // Get returns the entry of a backend server.
-func (r *Roster) Get(id currantturn.BackendID) (e Entry, ok bool) {
-	if p := r.entries[id]; p != nil {
-		return *p, true
+func (r *Roster) Get(now time.Time, id currantturn.BackendID) (e Entry, ok bool) {
+	p := r.entries[id]
+	if p == nil {
+		return e, false
+	}
+	e = *p
+	if until, pending := r.pendingUntil[id]; pending {
+		e.LapsesIn = max(until.Sub(now), time.Nanosecond)
+	}
+	return e, true
+}
+
+// Postpone gives registrations that have disappeared time until trustedFrom to reappear.
+func (r *Roster) Postpone(trustedFrom time.Time) {
+	for id := range r.pendingUntil {
+		r.pendingUntil[id] = trustedFrom
 	}
-	return e, false
+}
+
+// Lapsing reports whether any entry counts as gone unless its registration returns.
+func (r *Roster) Lapsing() bool {
+	return len(r.pendingUntil) > 0
 }
 
 // Entries returns copies of all entries, sorted by ID.
-func (r *Roster) Entries() []Entry {
+func (r *Roster) Entries(now time.Time) []Entry {
 	all := make([]Entry, 0, len(r.entries))
-	for _, e := range r.entries {
-		all = append(all, *e)
+	for id := range r.entries {
+		e, _ := r.Get(now, id)
+		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return all
@@ -137,7 +218,7 @@
 	listed := make(map[currantturn.BackendID]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
-		r.Adopt(e)
+		r.Adopt(now, e)
 	}
 	for id, e := range r.entries {
 		if !listed[id] && e.Gone.IsZero() {
@@ -147,10 +228,10 @@
 }
 
 // AdoptGone adds the removed entries of another roster that are missing in this one.
-func (r *Roster) AdoptGone(all []Entry) {
+func (r *Roster) AdoptGone(now time.Time, all []Entry) {
 	for _, e := range all {
 		if !e.Gone.IsZero() && r.entries[e.ID] == nil {
-			r.Adopt(e)
+			r.Adopt(now, e)
 		}
 	}
 }
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -22,7 +22,7 @@
 		r := roster.New()
 		r.Put(active)
 		r.Put(draining)
-		all := r.Entries()
+		all := r.Entries(start)
 		Expect(all[0].Placeable()).To(BeTrue())
 		Expect(all[1].Placeable()).To(BeFalse())
 	})
@@ -31,13 +31,13 @@
 		r := roster.New()
 		r.Replace(start, []currantturn.Registration{active, draining}, start)
 		r.Replace(start, nil, start)
-		all := r.Entries()
+		all := r.Entries(start)
 		Expect(all).To(HaveLen(2))
 		Expect(all[0].WasDraining).To(BeFalse())
 		Expect(all[1].WasDraining).To(BeTrue())
-		Expect(r.Expire(start.Add(roster.GoneRetention))).To(BeFalse())
-		Expect(r.Expire(start.Add(roster.GoneRetention + 1))).To(BeTrue())
-		Expect(r.Entries()).To(BeEmpty())
+		Expect(r.Expire(start.Add(roster.GoneRetention), start.Add(roster.GoneRetention))).To(BeFalse())
+		Expect(r.Expire(start.Add(roster.GoneRetention+1), start.Add(roster.GoneRetention+1))).To(BeTrue())
+		Expect(r.Entries(start)).To(BeEmpty())
 	})
 
 	It("keeps a registration that disappears while the store is unstable in force until the store is trusted", func() {
@@ -45,20 +45,62 @@
 		r.Put(active)
 		trustedFrom := start.Add(2 * time.Second)
 		r.Remove(start, "a", trustedFrom)
-		Expect(r.Entries()[0].Placeable()).To(BeTrue())
+		Expect(r.Entries(start)[0].Placeable()).To(BeTrue())
 		r.Put(active) // reappears in time
-		Expect(r.Expire(trustedFrom)).To(BeFalse())
-		Expect(r.Entries()[0].Placeable()).To(BeTrue())
+		Expect(r.Expire(trustedFrom, trustedFrom)).To(BeFalse())
+		Expect(r.Entries(start)[0].Placeable()).To(BeTrue())
 		r.Remove(start, "a", trustedFrom)
-		Expect(r.Expire(trustedFrom)).To(BeTrue())
-		Expect(r.Entries()[0].Placeable()).To(BeFalse())
+		Expect(r.Expire(trustedFrom.Add(time.Minute), trustedFrom.Add(-time.Second))).To(BeFalse(), "the store was not available until then")
+		Expect(r.Expire(trustedFrom, trustedFrom)).To(BeTrue())
+		Expect(r.Entries(start)[0].Placeable()).To(BeFalse())
+	})
+
+	It("marks it as gone at the same time in a roster that takes it over", func() {
+		r, other := roster.New(), roster.New()
+		r.Put(active)
+		r.Remove(start, "a", start.Add(2*time.Second))
+		other.Update(start.Add(time.Second), r.Entries(start.Add(time.Second)))
+		Expect(other.Expire(start.Add(1900*time.Millisecond), start.Add(1900*time.Millisecond))).To(BeFalse())
+		Expect(other.Expire(start.Add(2*time.Second), start.Add(2*time.Second))).To(BeTrue())
+		Expect(other.Entries(start)[0].Placeable()).To(BeFalse())
+	})
+
+	It("keeps an own entry unless another one is certainly later", func() {
+		r := roster.New()
+		gone, restarted := active, active
+		r.Put(draining)
+		gone.ID, restarted.ID = "g", "r"
+		gone.StartedAt, restarted.StartedAt = start, start
+		r.Put(gone)
+		r.Put(restarted)
+		r.Remove(start, "g", start)
+		r.Remove(start, "r", start)
+		ready := draining
+		ready.State = currantturn.BackendActive
+		restarted.StartedAt = start.Add(time.Second)
+		r.Reconcile(start, []roster.Entry{{Registration: ready}, {Registration: gone}, {Registration: restarted}}, 10, start)
+		var placeable []currantturn.BackendID
+		for _, e := range r.Entries(start) {
+			if e.Placeable() {
+				placeable = append(placeable, e.ID)
+			}
+		}
+		Expect(placeable).To(Equal([]currantturn.BackendID{"r"}))
+		ready.Sequence = draining.Sequence + 1
+		r.Reconcile(start, []roster.Entry{{Registration: ready}}, 10, start)
+		d, _ := r.Get(start, "d")
+		Expect(d.Placeable()).To(BeTrue(), "it was written again")
+		gone.CreatedRevision = 11
+		r.Reconcile(start, []roster.Entry{{Registration: gone}}, 10, start)
+		g, _ := r.Get(start, "g")
+		Expect(g.Placeable()).To(BeTrue(), "it registered again")
 	})
 
 	It("marks a draining registration as gone at once, even while the store is unstable", func() {
 		r := roster.New()
 		r.Put(draining)
 		r.Remove(start, "d", start.Add(time.Hour))
-		Expect(r.Entries()[0].WasDraining).To(BeTrue())
+		Expect(r.Entries(start)[0].WasDraining).To(BeTrue())
 	})
 
 	It("takes over a newer state and keeps what that no longer shows as removed", func() {
@@ -69,10 +111,10 @@
 		other.Put(currantturn.Registration{ID: "s", State: currantturn.BackendActive})
 		other.Put(currantturn.Registration{ID: "t"})
 		other.Remove(start.Add(-time.Second), "t", start.Add(-time.Minute))
-		other.Update(start, r.Entries())
-		Expect(other.Entries()[:2]).To(Equal(r.Entries()))
+		other.Update(start, r.Entries(start))
+		Expect(other.Entries(start)[:2]).To(Equal(r.Entries(start)))
 		var removed []currantturn.BackendID
-		for _, e := range other.Entries()[2:] {
+		for _, e := range other.Entries(start)[2:] {
 			Expect(e.Gone).NotTo(BeZero())
 			removed = append(removed, e.ID)
 		}
@@ -84,11 +126,11 @@
 		r.Replace(start, []currantturn.Registration{active, draining}, start)
 		r.Remove(start, "d", start)
 		other := roster.New()
-		other.AdoptGone(r.Entries())
-		Expect(other.Entries()).To(HaveLen(1))
-		Expect(other.Entries()[0].ID).To(Equal(currantturn.BackendID("d")))
+		other.AdoptGone(start, r.Entries(start))
+		Expect(other.Entries(start)).To(HaveLen(1))
+		Expect(other.Entries(start)[0].ID).To(Equal(currantturn.BackendID("d")))
 		other.Put(currantturn.Registration{ID: "d", State: currantturn.BackendActive}) // registered again
-		other.AdoptGone(r.Entries())
-		Expect(other.Entries()[0].Placeable()).To(BeTrue())
+		other.AdoptGone(start, r.Entries(start))
+		Expect(other.Entries(start)[0].Placeable()).To(BeTrue())
 	})
 })
--- a/internal/transport/published/published_test.go
+++ b/internal/transport/published/published_test.go
@@ -22,7 +22,7 @@
 
 var _ = Describe("published state", func() {
 	state := statesync.State{
-		Revision: 40,
+		Position: currantturn.Position{Era: 2, Revision: 40},
 		Routing: &currantturn.Routing{Version: 7, Routes: []currantturn.FlowRoute{{
 			Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []currantturn.Share{{Service: "verify", Weight: 1}},
 			LatencyObjective: 120 * time.Millisecond,
--- a/packet.go
+++ b/packet.go
@@ -101,7 +101,7 @@
 	Packet    Packet
 	// The fields below are set with packets of opaque flows only.
 	Demand   Demand
-	Revision uint64 // of the newest published state that the sender has
+	Position Position // of the newest published state that the sender has
 	// Recipients are agents that the receiver forwards a search to, with the sender as
 	// its Balancer.
 	Recipients []netip.Addr
--- a/roster.go
+++ b/roster.go
@@ -19,6 +19,18 @@
 	// CreatedRevision is the store's revision at which the registration was
 	// created.
 	CreatedRevision uint64 `cbor:"11,keyasint"`
+	// Sequence rises with each write of the incarnation, of which the store reports only
+	// those that change something else as well; 0 if unknown.
+	Sequence uint64 `cbor:"12,keyasint,omitempty"`
+}
+
+// SameIncarnation reports whether both registrations are of one start of one backend
+// server.
+func (r *Registration) SameIncarnation(other *Registration) bool {
+	if r.ID != other.ID || !r.StartedAt.Equal(other.StartedAt) {
+		return false
+	}
+	return !r.StartedAt.IsZero() || r.CreatedRevision == other.CreatedRevision
 }
 
 // Share is the part of a route's new flows that goes to one service.
--- a/store.go
+++ b/store.go
@@ -15,11 +15,12 @@
 // Listing is the result of a read of the store.
 type Listing struct {
 	Items    []Item
-	Revision uint64 // of the store, after which a watch continues
+	Position // of the store, after which a watch continues
 }
 
 // Store reads from the platform's store. Its errors wrap ErrUnavailable,
-// ErrCompacted or ErrMalformed.
+// ErrCompacted or ErrMalformed. A listing that comes with an error holds the era, if
+// the store's response has one, and nothing else.
 type Store interface {
 	// Configuration reads the published configuration; the listing is empty if
 	// there is none.
