Use a connection to the backend server for one request

Cause: a backend server that sends a second copy of an answer late, when its connection is in use again, has it taken for the answer to the next request (spec: the second caller got the first one's answer). net/http only notices it while the connection is idle.

Ruled out: matching answers to requests, for which HTTP/1.1 has nothing that a backend server must return.

Change: no keep-alive to the backend server, which is on loopback. On opaque flows the ends' sequence numbers tell a late copy from a new answer.

--- a/internal/transport/request/constants.go
+++ b/internal/transport/request/constants.go
@@ -15,8 +15,6 @@
 	defaultRetryAfter = time.Second
 	// maxRetries limits the retries of one idempotent request.
 	maxRetries = 2
-	// maxIdleBackendConns limits the idle connections to the backend server.
-	maxIdleBackendConns = 64
 	// peerIdleTimeout closes a connection between agents on which nothing is received.
 	peerIdleTimeout = 30 * time.Second
 	// confirmationPollInterval is how often a planned stop checks for unconfirmed reports.
--- a/internal/transport/request/handler.go
+++ b/internal/transport/request/handler.go
@@ -53,7 +53,9 @@
 	}
 	h := &Handler{
 		opts:             opts,
-		backendTransport: &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, DisableCompression: true},
+		// A connection carries one request: on a reused one, a late second copy of an answer
+		// would be taken for the answer to the next request.
+		backendTransport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 		retryBudget:      admission.NewBudget(opts.Rand),
 		effectsPool:      sync.Pool{New: func() any { return new(currantturn.Effects) }},
 	}
@@ -101,10 +103,8 @@
 	return nil
 }
 
-// Close closes the idle connections to the backend server and all connections to
-// peers.
+// Close closes all connections to peers.
 func (h *Handler) Close() error {
-	h.backendTransport.CloseIdleConnections()
 	if h.peerTransport == nil {
 		return nil
 	}
