--- a/internal/transport/request/handler.go
+++ b/internal/transport/request/handler.go
@@ -52,7 +52,7 @@
 		opts.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
 	h := &Handler{
-		opts:             opts,
+		opts: opts,
 		// A connection carries one request: on a reused one, a late second copy of an answer
 		// would be taken for the answer to the next request.
 		backendTransport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
