Take no silence of an agent for a denial, and probe VMs that are gone

Cause 1 (one of the faults that operators of similar systems reported): an agent that left queries unanswered for 0.6 s while others answered counted as holding nothing, and a balancer without a record of the flow reset it, although its VM was only paused or cut off. Spec: a VM is silent for 1.5 s while all processes restart; its flows were reset. Now it counts only when its registration is gone as well.

Ten backend servers that were being released stayed away; silence counts for one second, so each search waited for two unanswered queries anew. Agents whose backend servers are taken for ended are now probed every 0.7 s, at most 4 KB/s, and waited for again when one answers.

Kept: a reset needs proof.

Also in the state of balancers, found by the model: one that restarts just before the store returns from a copy has not seen earlier removals, and learns them from peers first; what is learned so lapses if the store does not have it; a peer's record of removals is pulled from one second more on.

--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -145,6 +145,22 @@
 	}
 }
 
+// probeEnded probes agents whose backend servers are taken for ended, a few at a time. One
+// that answers is waited for again.
+func (b *Balancer) probeEnded(now time.Time, out *currantturn.Effects) {
+	p := b.plan.Load()
+	if p == nil {
+		return
+	}
+	sent := 0
+	for _, t := range p.targets {
+		if sent < endedProbesPerTick && t.probeEnded(now, b.lastReceived()) {
+			out.Send(t.agent, relay.Probe{})
+			sent++
+		}
+	}
+}
+
 // Publish puts a published state in force, unless its configuration is older than the
 // present one. It then resumes deferred searches and routes buffered packets. A state
 // without a configuration is used for its announced agents alone.
@@ -256,5 +272,6 @@
 	b.sendToUnsure(now, out)
 	b.sendQueries(now, out)
 	b.probe(now, out)
+	b.probeEnded(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -68,10 +68,6 @@
 	// recheckInterval is how often a search queries agents again that have not
 	// answered.
 	recheckInterval = answerTimeout + queryInterval
-	// unresponsiveTimeout is how long an agent may leave queries unanswered before
-	// searches stop waiting for it. A killed process is back in about a second, and
-	// a caller hardly waits longer.
-	unresponsiveTimeout = 600 * time.Millisecond
 	// minUnanswered is how many queries an agent must leave unanswered to count as
 	// not answering: a single one may have been lost in a short network outage.
 	minUnanswered = 2
@@ -82,6 +78,12 @@
 	probeInterval = 100 * time.Millisecond
 	// probeFanout is how many agents are probed at a time, in case some are down.
 	probeFanout = 4
+	// endedProbeInterval is how often an agent is probed whose backend server has ended, so
+	// that searches need not wait for it anew: less than searchTimeout, for which silence
+	// counts.
+	endedProbeInterval = 700 * time.Millisecond
+	// endedProbesPerTick limits these probes; at 40 bytes each they take 4 KB/s at most.
+	endedProbesPerTick = 1
 	// isolationTimeout is how long probes may stay unanswered before this balancer
 	// reports itself isolated, so that it is taken out of rotation.
 	isolationTimeout = 300 * time.Millisecond
--- a/internal/coordination/flowbalancer/entry.go
+++ b/internal/coordination/flowbalancer/entry.go
@@ -84,9 +84,9 @@
 }
 
 // ruledOut reports whether a backend server can't be the flow's holder: its agent
-// denied that, or it has ended or does not answer.
+// denied that, or it has ended.
 func (e *entry) ruledOut(t *target, now, lastReceived time.Time) bool {
-	return slices.Contains(e.deniedBy, t.entry.ID) || t.endedOrUnresponsive(now, lastReceived)
+	return slices.Contains(e.deniedBy, t.entry.ID) || t.ended(now, lastReceived)
 }
 
 // allRuledOut reports whether every one of the backend servers is ruled out.
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -67,16 +67,25 @@
 
 // ended reports whether the backend server has ended and so holds no flows: its
 // registration is gone, and its agent does not answer while others do. A missing
-// registration alone is no proof, since it may be removed early.
+// registration alone is no proof, since it may be removed early; nor is silence, since
+// the VM may be paused or cut off.
 func (t *target) ended(now, lastReceived time.Time) bool {
 	return t.deregistered() && t.unansweredFor(now, lastReceived) > 0
 }
 
-// endedOrUnresponsive reports whether the backend server holds no flow that a caller
-// could reach: it has ended, or its agent has not answered for unresponsiveTimeout.
-func (t *target) endedOrUnresponsive(now, lastReceived time.Time) bool {
-	unanswered := t.unansweredFor(now, lastReceived)
-	return unanswered > 0 && t.deregistered() || unanswered > unresponsiveTimeout
+// probeEnded records that the agent is probed, and returns true, if its backend server is
+// taken for ended and the last query is endedProbeInterval ago.
+func (t *target) probeEnded(now, lastReceived time.Time) bool {
+	if !t.deregistered() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.unanswered.duration(now, lastReceived) == 0 || now.Sub(t.unanswered.last) < endedProbeInterval {
+		return false
+	}
+	t.unanswered.recordQuery(now, lastReceived)
+	return true
 }
 
 // unansweredFor returns how long the agent has not answered queries while other
--- a/internal/coordination/statesync/era.go
+++ b/internal/coordination/statesync/era.go
@@ -28,14 +28,18 @@
 	f.counts.Restored++
 	f.mustList, f.resumed = true, false
 	f.trustedFrom, f.lapsedUntil = now.Add(lapseGrace), now.Add(lapseGrace)
-	f.recordedSince = now
 	f.beginVerification(now)
+	if now.Sub(f.recordedSince) >= recordNeeded {
+		f.linkedEra = era
+	} else {
+		// A peer may know of removals that this balancer has not seen.
+		f.heldUntil = now.Add(firstPeerTimeout)
+	}
+	f.recordedSince = now
 }
 
-// beginVerification records that the state includes what was published before the present
-// era began.
+// beginVerification sets the time until which registrations are compared with the own ones.
 func (f *Feed) beginVerification(now time.Time) {
-	f.linkedEra = f.era
 	f.verifyAt = now.Add(verifyDelay + time.Duration(f.rng.Int64N(int64(verifyJitter))))
 }
 
@@ -101,13 +105,13 @@
 // which may be newer otherwise.
 func (f *Feed) learnEarlierEra(now time.Time, s *State, out *currantturn.Effects) {
 	f.beginVerification(now)
-	f.heldUntil = time.Time{}
+	f.linkedEra, f.heldUntil = f.era, time.Time{}
 	if f.state.Routing == nil {
 		return // the peer's state replaces the own one
 	}
 	next := f.state
 	f.setRouting(now, &next, s.Routing, out)
-	f.servers.Learn(now, s.Servers)
+	f.servers.Learn(now, s.Servers, now.Add(lapseGrace))
 	next.Servers = f.servers.Entries(now)
 	f.state, f.changed = next, nil
 }
@@ -115,7 +119,7 @@
 // fromEarlierEra reports whether a peer's position can't be compared with the own one: its
 // process does not know of eras, and the revisions may be of either.
 func (f *Feed) fromEarlierEra(p currantturn.Position) bool {
-	return p.Era == 0 && f.linkedEra != 0
+	return p.Era == 0 && (f.linkedEra != 0 || f.counts.Restored > 0)
 }
 
 // placementHeld reports whether new flows have to wait for a peer's state: the own one was
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -105,7 +105,7 @@
 	// after the first state, and after an outage of the store.
 	lapsedUntil      time.Time
 	era              uint64    // highest one seen in a response of the store or a peer's state
-	linkedEra        uint64    // last era for which the state includes what was published before it began; 0 if none
+	linkedEra        uint64    // last era for which the state includes all that was published before it began; 0 if none
 	eraRevision      uint64    // first one of the present era that was in force here
 	verifyAt         time.Time // when to read everything once more after the era began; zero if done
 	startedAt        time.Time
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -34,7 +34,7 @@
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
 	{BackendSlow, "backend_slow", Warning, "backend server is slower than the others; it is treated as busier", fields("backend service_time usual age")},
 	{BackendUsual, "backend_usual", Info, "backend server is about as fast as the others again", fields("backend service_time usual age")},
-	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do; it is treated as holding no flows", fields("backend peer unanswered registered")},
+	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do, and its registration is gone; it is treated as holding no flows", fields("backend peer unanswered registered")},
 	{AgentHeard, "agent_heard", Info, "agent answers again", fields("backend peer")},
 	{FlowOverflowed, "flow_overflowed", Info, "new flow goes to another service of its route: the drawn one has no backend server for it, or only overloaded ones", fields("flow drawn service")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned to its balancer", fields("flow service")},
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -104,7 +104,7 @@
 // was created after a revision that the store has given out since. An own entry without
 // another one is handled as by Remove.
 func (r *Roster) Reconcile(now time.Time, all []Entry, since uint64, trustedFrom time.Time) {
-	r.Learn(now, all)
+	r.learn(now, all, time.Time{})
 	for i := range all {
 		if all[i].Gone.IsZero() && all[i].CreatedRevision > since && !r.entries[all[i].ID].Gone.IsZero() {
 			r.Adopt(now, all[i])
@@ -127,11 +127,23 @@
 	}
 }
 
-// Learn adds the entries that are missing in this roster or later than the own ones.
-func (r *Roster) Learn(now time.Time, all []Entry) {
+// Learn adds the entries of an earlier roster that are missing in this one or later than
+// the own ones. Since the store does not have those that are missing here, they count as
+// gone from trustedFrom on, unless their registration returns.
+func (r *Roster) Learn(now time.Time, all []Entry, trustedFrom time.Time) {
+	r.learn(now, all, trustedFrom)
+}
+
+// learn is Learn, with a zero time if the store has the missing entries.
+func (r *Roster) learn(now time.Time, all []Entry, trustedFrom time.Time) {
 	for i := range all {
-		if own := r.entries[all[i].ID]; own == nil || all[i].laterThan(own) {
-			r.Adopt(now, all[i])
+		own := r.entries[all[i].ID]
+		if own != nil && !all[i].laterThan(own) {
+			continue
+		}
+		r.Adopt(now, all[i])
+		if own == nil && all[i].Gone.IsZero() && all[i].LapsesIn == 0 && !trustedFrom.IsZero() {
+			r.pendingUntil[all[i].ID] = trustedFrom
 		}
 	}
 }
