--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -176,8 +176,9 @@
 // milliseconds.
 const minPublishInterval = 100 * time.Millisecond
 
-// pullTimeout is the timeout for reading another balancer's state.
-const pullTimeout = time.Second
+// pullTimeout limits the time of reading another balancer's state; Pull has its own limit
+// on pauses.
+const pullTimeout = 10 * time.Second
 
 // pull reads the newer state of another balancer and applies it.
 func (b *FlowBalancer) pull(peer netip.AddrPort) {
--- a/internal/transport/published/published.go
+++ b/internal/transport/published/published.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +11,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
+	"github.com/currantturn/currantturn/internal/transport/body"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
@@ -24,6 +24,9 @@
 	// maxStateBytes limits the state that Read accepts; each value in the store may
 	// have up to 1 MB.
 	maxStateBytes = 16 << 20
+	// maxPause limits the time until a response and pauses within it. A state with
+	// thousands of routes takes seconds on a slow link.
+	maxPause = time.Second
 	// dialTimeout limits the connection set-up to a balancer, whose round trip is
 	// a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
@@ -72,20 +75,25 @@
 // that still has the known version.
 func Read(ctx context.Context, addr netip.AddrPort, knownVersion currantturn.Version) (statesync.State, error) {
 	var s statesync.State
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s=%d", addr, statePath, knownVersionParam, knownVersion), nil)
 	if err != nil {
 		return s, eris.Wrap(err, "create a request for the published state")
 	}
+	header := time.AfterFunc(maxPause, cancel)
+	defer header.Stop()
 	res, err := client.Do(r)
 	if err != nil {
 		return s, eris.Wrap(currantturn.ErrUnavailable, err.Error())
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxStateBytes))
+	header.Stop()
+	content, err := body.Read(res.Body, maxStateBytes, maxPause, cancel)
 	if err != nil || res.StatusCode != http.StatusOK {
 		return s, eris.Wrapf(currantturn.ErrUnavailable, "read the published state: status %d, error %v", res.StatusCode, err)
 	}
-	if err := cbor.Unmarshal(body, &s); err != nil {
+	if err := cbor.Unmarshal(content, &s); err != nil {
 		return s, eris.Wrap(currantturn.ErrMalformed, err.Error())
 	}
 	return s, nil
