--- a/internal/coordination/statesync/era_test.go
+++ b/internal/coordination/statesync/era_test.go
@@ -182,7 +182,7 @@
 		b := f.balancers[0]
 		position := b.feed.State(f.now).Position
 		late.Revision, lateServers.Revision = 500, 500
-		b.feed.ApplyChanges(f.now, lateServers, &out)
+		b.feed.ApplyChanges(f.now, position, lateServers, &out)
 		b.feed.ApplyListing(f.now, f.now, late, lateServers, &out)
 		Expect(b.feed.State(f.now).Position).To(Equal(position))
 		Expect(f.placeable(0)).To(Equal([]currantturn.BackendID{"b"}))
@@ -191,6 +191,30 @@
 		Expect(f.versions()).To(HaveEach(currantturn.Version(10)))
 	})
 
+	// A peer's state has replaced the position that the watch goes on from.
+	It("does not take a watch from the earlier history for one from the present", func() {
+		f := newHistoryFleet(2)
+		b := f.balancers[0]
+		copied := f.store.copied()
+		f.store.configure(8)
+		f.run(time.Second)
+		after := b.feed.State(f.now).Position
+		f.store.restore(copied)
+		var out currantturn.Effects
+		peer := f.balancers[1].feed
+		peer.ApplyListing(f.now, f.now, f.store.listRouting(), f.store.listServers(), &out)
+		b.feed.ApplyPulled(f.now, peer.State(f.now), &out)
+		f.store.register(draining("a", 5))
+		Expect(f.store.Revision).To(Equal(after.Revision), "the revision was given out again")
+		changes, err := f.store.watch(after.Revision)
+		Expect(err).NotTo(HaveOccurred())
+		b.feed.ApplyChanges(f.now, after, changes, &out)
+		f.run(time.Second)
+		for i := range f.balancers {
+			Expect(f.placeable(i)).To(Equal([]currantturn.BackendID{"b"}))
+		}
+	})
+
 	It("is noticed in an error response", func() {
 		f := newHistoryFleet(1)
 		b := f.balancers[0]
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -76,8 +76,8 @@
 // Plan is the next step with its arguments.
 type Plan struct {
 	Step  Step
-	After uint64        // revision after which a watch starts
-	Wait  time.Duration // longest duration of a watch, or duration of a pause
+	After currantturn.Position // after which a watch starts
+	Wait  time.Duration        // longest duration of a watch, or duration of a pause
 }
 
 // Feed keeps the newest published state; it is safe for concurrent use.
@@ -229,7 +229,7 @@
 	if !f.resumed {
 		wait = resumeWait
 	}
-	return Plan{Step: StepWatch, After: f.state.Revision, Wait: wait}
+	return Plan{Step: StepWatch, After: f.state.Position, Wait: wait}
 }
 
 // usable reports whether the state has what it takes to place flows.
@@ -290,8 +290,8 @@
 	f.confirmAt(began)
 }
 
-// ApplyChanges applies the changes that a watch returned.
-func (f *Feed) ApplyChanges(now time.Time, changes currantturn.Listing, out *currantturn.Effects) {
+// ApplyChanges applies the changes that a watch from a position returned.
+func (f *Feed) ApplyChanges(now time.Time, after currantturn.Position, changes currantturn.Listing, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.observeEra(now, changes.Era, out)
@@ -301,8 +301,8 @@
 	}
 	f.endOutage(now, out)
 	f.counts.Watches++
-	if f.mustList {
-		return // the changes follow a revision of an earlier era
+	if f.mustList || after.Era != f.state.Era || after.After(f.state.Position) {
+		return // the changes follow a position of another history
 	}
 	f.resumed = true
 	if f.state.After(changes.Position) {
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -203,9 +203,9 @@
 			l.Items = append(l.Items, f.routing().Items...)
 		}
 		if f.emptyWatches {
-			l = currantturn.Listing{Position: currantturn.Position{Revision: plan.After}}
+			l = currantturn.Listing{Position: plan.After}
 		}
-		b.feed.ApplyChanges(f.now, l, out)
+		b.feed.ApplyChanges(f.now, plan.After, l, out)
 	}
 }
 
@@ -233,14 +233,14 @@
 			b.feed.RecordFailure(f.now, 0, currantturn.ErrUnavailable, out)
 			return
 		}
-		l, err := f.store.watch(plan.After)
+		l, err := f.store.watch(plan.After.Revision)
 		if withoutEras {
 			l.Era = 0
 		}
 		if err != nil {
 			b.feed.RecordFailure(f.now, l.Era, err, out)
 		} else {
-			b.feed.ApplyChanges(f.now, l, out)
+			b.feed.ApplyChanges(f.now, plan.After, l, out)
 		}
 	}
 }
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -205,9 +205,9 @@
 		case statesync.StepList:
 			b.listStore(ctx)
 		case statesync.StepWatch:
-			changes, err := b.opts.Store.Watch(ctx, next.After, next.Wait)
+			changes, err := b.opts.Store.Watch(ctx, next.After.Revision, next.Wait)
 			b.applyRead(changes.Era, err, func(now time.Time, out *currantturn.Effects) {
-				b.feed.ApplyChanges(now, changes, out)
+				b.feed.ApplyChanges(now, next.After, changes, out)
 			}, len(changes.Items) > 0)
 		default:
 			pause.For(ctx, next.Wait)
