--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -104,12 +104,8 @@
 	// lapsedUntil is the time until which a backend server that runs may not be registered:
 	// after the first state, and after an outage of the store.
 	lapsedUntil      time.Time
-	era              uint64    // highest one seen in a response of the store or a peer's state
-	linkedEra        uint64    // last era for which the state includes all that was published before it began; 0 if none
-	eraRevision      uint64    // first one of the present era that was in force here
-	verifyAt         time.Time // when to read everything once more after the era began; zero if done
+	era              eraState
 	startedAt        time.Time
-	heldUntil        time.Time        // when new flows are placed even without a peer's state
 	greet            []netip.AddrPort // peers that get a heartbeat with the next tick, because they were silent before
 	failures         int              // consecutive failed reads
 	peers            map[netip.AddrPort]peer
@@ -427,7 +423,7 @@
 		return
 	}
 	f.counts.Pulls++
-	f.heldUntil = time.Time{}
+	f.era.heldUntil = time.Time{}
 	if !f.usable() {
 		f.lapsedUntil = now.Add(lapseGrace)
 	}
@@ -442,7 +438,7 @@
 	next := State{Position: s.Position, Routing: f.state.Routing}
 	f.setRouting(now, &next, s.Routing, out)
 	if f.verifying() {
-		f.servers.Reconcile(now, s.Servers, f.eraRevision, f.trustedFrom)
+		f.servers.Reconcile(now, s.Servers, f.era.firstRevision, f.trustedFrom)
 	} else {
 		f.servers.Update(now, s.Servers)
 	}
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -112,8 +112,8 @@
 		changed = true
 	}
 	changed = f.expireAnnounced(now) || changed
-	if !f.heldUntil.IsZero() && !f.placementHeld(now) {
-		f.heldUntil = time.Time{}
+	if !f.era.heldUntil.IsZero() && !f.placementHeld(now) {
+		f.era.heldUntil = time.Time{}
 		changed = true
 	}
 	if !f.lapsedUntil.IsZero() && !now.Before(f.lapsedUntil) {
