--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -141,8 +141,15 @@
 		if own != nil && !all[i].laterThan(own) {
 			continue
 		}
+		deadline, pending := r.pendingUntil[all[i].ID]
 		r.Adopt(now, all[i])
-		if own == nil && all[i].Gone.IsZero() && all[i].LapsesIn == 0 && !trustedFrom.IsZero() {
+		if trustedFrom.IsZero() || !all[i].Gone.IsZero() || all[i].LapsesIn > 0 {
+			continue
+		}
+		switch {
+		case pending:
+			r.pendingUntil[all[i].ID] = deadline
+		case own == nil:
 			r.pendingUntil[all[i].ID] = trustedFrom
 		}
 	}
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -96,6 +96,28 @@
 		Expect(g.Placeable()).To(BeTrue(), "it registered again")
 	})
 
+	It("learns of an earlier entry without giving it more time to reappear", func() {
+		r := roster.New()
+		earlier := active
+		earlier.Sequence++
+		r.Put(active)
+		r.Remove(start, "a", start.Add(time.Second))
+		other := active
+		other.ID = "o"
+		r.Learn(start, []roster.Entry{{Registration: earlier}, {Registration: other}}, start.Add(2*time.Second))
+		gone := func(at time.Duration) (ids []currantturn.BackendID) {
+			r.Expire(start.Add(at), start.Add(at))
+			for _, e := range r.Entries(start) {
+				if !e.Gone.IsZero() {
+					ids = append(ids, e.ID)
+				}
+			}
+			return ids
+		}
+		Expect(gone(time.Second)).To(Equal([]currantturn.BackendID{"a"}))
+		Expect(gone(2 * time.Second)).To(Equal([]currantturn.BackendID{"a", "o"}))
+	})
+
 	It("marks a draining registration as gone at once, even while the store is unstable", func() {
 		r := roster.New()
 		r.Put(draining)
