flowbalancer: look for ended backend servers only among those without a registration

probeEnded went over every agent with each tick, up to a hundred times a second; at 9,600 agents that is a million checks a second for the few that are gone. The plan now lists those when it is built. Behaviour is as before.

--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -153,8 +153,11 @@
 		return
 	}
 	sent := 0
-	for _, t := range p.targets {
-		if sent < endedProbesPerTick && t.probeEnded(now, b.lastReceived()) {
+	for _, t := range p.gone {
+		if sent == endedProbesPerTick {
+			return
+		}
+		if t.probeEnded(now, b.lastReceived()) {
 			out.Send(t.agent, relay.Probe{})
 			sent++
 		}
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -28,6 +28,7 @@
 	placeable       map[currantturn.ServiceName][]*target        // targets that may get new flows
 	byService       map[currantturn.ServiceName][]*target        // targets that may hold flows
 	targets         []*target                                    // one per agent
+	gone            []*target                                    // those of them without a registration
 	byAgent         map[netip.AddrPort]*target                   // by link address
 }
 
@@ -81,6 +82,11 @@
 		}
 	}
 	p.addAnnounced(now, source.Announced, old)
+	for _, t := range p.targets {
+		if t.deregistered() {
+			p.gone = append(p.gone, t)
+		}
+	}
 	return p
 }
 
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -73,12 +73,9 @@
 	return t.deregistered() && t.unansweredFor(now, lastReceived) > 0
 }
 
-// probeEnded records that the agent is probed, and returns true, if its backend server is
-// taken for ended and the last query is endedProbeInterval ago.
+// probeEnded records that the agent of a backend server without a registration is probed,
+// and returns true, if it is taken for ended and the last query is endedProbeInterval ago.
 func (t *target) probeEnded(now, lastReceived time.Time) bool {
-	if !t.deregistered() {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.unanswered.duration(now, lastReceived) == 0 || now.Sub(t.unanswered.last) < endedProbeInterval {
