--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,19 @@
 .PHONY: soak
 soak: build
 	go run ./cmd/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --processes $(PROCESSES)
+
+# Scores and hunts of the regular sites; BENCH is the users' bench, PAGES the folder of their
+# pages, WHY the reason for the journal.
+BENCH ?=
+PAGES ?=
+WHY ?= regular run
+.PHONY: regressions hunts
+regressions:
+	sed '/^#/d' deploy/regressions.txt | while read -r site _; do \
+		"$(BENCH)" score "$(PAGES)/$$site" --jobs $(JOBS) --why "$(WHY)" </dev/null || exit 1; \
+	done
+
+hunts:
+	sed '/^#/d' deploy/regressions.txt | while read -r site days; do \
+		"$(BENCH)" hunt "$(PAGES)/$$site" --days "$$days" --jobs $(JOBS) --why "$(WHY)" </dev/null || exit 1; \
+	done
