flowbalancer: leave a new flow with a backend server that has not answered yet

Agents now return it as "unanswered"; the balancer keeps which backend servers declined and resets only if each that had the packet did, or has ended. Otherwise the caller's copies go to one that may still answer. What is bounced, or not delivered because the backend server is unresponsive, is refused at once as before.

Ruled out: to refuse what was delivered to a backend server that turned unresponsive. Its answer may cross the reset, which would end an open flow; at most one opening packet per retryInterval waits like that. In a roll, old balancers drop the new intent and wait for their own 70 ms; old agents' returns count as declined, as before.

One spec of the agent expected "declined" for what is not answered; it expects "unanswered" now and also that the copy is delivered and declined once it bounces.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -268,7 +268,7 @@
 			return r
 		}
 		a.countUnansweredOpening(now, out)
-		a.returnToBalancer(r.balancer, currantturn.IntentDeclined, r.openingPacket, out)
+		a.returnToBalancer(r.balancer, currantturn.IntentUnanswered, r.openingPacket, out)
 		a.counts.declined.Add(1)
 		r.openingPacket = nil // a late answer still opens the flow
 		return r
--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -259,6 +259,10 @@
 		t.tick(30 * time.Millisecond)
 		Expect(t.out.Forwards).To(BeEmpty())
 		t.tick(20 * time.Millisecond)
+		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentUnanswered}))
+		t.route(otherCaller(1), currantturn.IntentHeld, syn, 100, 1, 0)
+		Expect(t.out.Deliveries).To(HaveLen(1), "the caller's copy")
+		t.bounce(otherCaller(1), syn, 100, 1, 0)
 		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentDeclined}))
 	})
 
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -106,7 +107,8 @@
 }
 
 // place sends an opening packet to the best backend server of its route that has not
-// had it yet, or resets the flow if there is none.
+// had it yet. If there is none, it waits for one that may still answer, or resets the
+// flow.
 func (b *Balancer) place(
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) {
@@ -117,6 +119,9 @@
 		}
 		return
 	}
+	if t == nil && b.awaitAnswer(now, p, route, e) {
+		return
+	}
 	if t == nil {
 		b.counts.refused.Add(1)
 		b.resetAndForget(now, packet, e, "no backend server takes new flows", out)
@@ -128,6 +133,9 @@
 		b.counts.replaced.Add(1)
 	}
 	t.countSentFlow()
+	if e.progress != placing {
+		e.deniedBy = nil // by a search: the backend servers did not hold the flow before
+	}
 	e.progress, e.holder, e.acceptDue = placing, t, now.Add(acceptTimeout<<len(e.tried))
 	e.openingPacket = bytes.Clone(packet.Payload)
 	e.tried = append(e.tried, t.entry.ID)
@@ -140,6 +148,22 @@
 	}
 }
 
+// awaitAnswer leaves an opening packet with a backend server that has not answered it yet
+// and that the caller's copies go to. It returns false if none of those that had the packet
+// can be expected to answer. A reset might cross the answer, and end an open flow.
+func (b *Balancer) awaitAnswer(now time.Time, p *plan, route *currantturn.FlowRoute, e *entry) bool {
+	if e.progress != placing {
+		return false
+	}
+	for _, t := range p.routeHolders(route) {
+		if slices.Contains(e.tried, t.entry.ID) && !e.ruledOut(t, now, b.lastReceived()) {
+			e.holder = t
+			return true
+		}
+	}
+	return false
+}
+
 // send forwards a packet to a target's agent. One that searches counts as a query.
 func (b *Balancer) send(
 	now time.Time, t *target, route *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
@@ -187,6 +211,10 @@
 			return nil
 		case env.Intent == currantturn.IntentDeclined:
 			b.handleDeclined(now, p, route, t, &env.Packet, e, out)
+		case env.Intent == currantturn.IntentUnanswered:
+			if e.progress == placing && e.holder.agent == from {
+				b.placeUnanswered(now, p, route, &env.Packet, e, out)
+			}
 		case e.progress == searching:
 			e.recordDenial(t.entry.ID, env.Position)
 			b.continueAfterDenial(now, p, route, env.Packet.Flow, e, out)
@@ -205,7 +233,13 @@
 	now time.Time, p *plan, route *currantturn.FlowRoute, t *target, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) {
 	t.avoidForNow(now)
-	if e.progress != placing || e.holder == nil || e.holder.agent != t.agent {
+	if e.progress != placing {
+		return
+	}
+	if slices.Contains(e.tried, t.entry.ID) {
+		e.recordDenial(t.entry.ID, currantturn.Position{})
+	}
+	if e.holder.agent != t.agent {
 		return
 	}
 	out.Event(event.FlowDeclined, event.F("flow", packet.Flow), event.F("backend", t.entry.ID), event.F("tries", len(e.tried)))
@@ -224,18 +258,28 @@
 		if route == nil {
 			return e
 		}
-		e.holder.avoidForNow(now)
 		packet, ok := b.decodeStored(e.openingPacket)
 		if !ok {
 			return nil
 		}
-		out.Event(event.FlowUnanswered, event.F("flow", key), event.F("backend", e.holder.entry.ID),
-			event.F("tries", len(e.tried)), event.F("waited", acceptTimeout))
-		b.place(now, p, route, &packet, e, out)
+		b.placeUnanswered(now, p, route, &packet, e, out)
 		return b.dropIfUndecided(e)
 	})
 }
 
+// placeUnanswered places a new flow elsewhere after its opening packet was not answered in
+// time. The backend server that had it may still answer.
+func (b *Balancer) placeUnanswered(
+	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
+) {
+	e.holder.avoidForNow(now)
+	tries := len(e.tried)
+	sent := e.acceptDue.Add(-(acceptTimeout << (tries - 1)))
+	out.Event(event.FlowUnanswered, event.F("flow", packet.Flow), event.F("backend", e.holder.entry.ID),
+		event.F("tries", tries), event.F("waited", now.Sub(sent)))
+	b.place(now, p, route, packet, e, out)
+}
+
 // handleAccepted ends the wait for an answer to an opening packet.
 func (b *Balancer) handleAccepted(now time.Time, key currantturn.FlowKey, t *target) {
 	b.flows.Update(key, func(e *entry) *entry {
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -101,7 +101,9 @@
 	removedAt    time.Time // when the registration was removed; zero while it exists
 	address      netip.AddrPort
 	agent        *flowagent.Agent
-	unresponsive bool // the backend server processes nothing and sends nothing
+	unresponsive bool          // the backend server processes nothing and sends nothing
+	openDelay    time.Duration // from an opening packet until the backend server processes it
+	full         bool          // the backend server accepts no flow: it bounces opening packets
 	flows        map[netip.AddrPort]*connection
 	serviceTime  time.Duration
 	queue        []func()
@@ -300,7 +302,11 @@
 	step(sim.now, &out)
 	for i := range out.Deliveries {
 		packet := bytes.Clone(out.Deliveries[i].Payload)
-		sim.schedule(0, func() { sim.deliverToBackend(b, packet) })
+		delay := time.Duration(0)
+		if out.Deliveries[i].Mark == currantturn.MarkOpening {
+			delay = b.openDelay
+		}
+		sim.schedule(delay, func() { sim.deliverToBackend(b, packet) })
 	}
 	for i := range out.Answers {
 		packet := bytes.Clone(out.Answers[i].Payload)
@@ -439,6 +445,9 @@
 	}
 	conn := b.flows[p.Flow.Caller]
 	switch {
+	case p.Mark == currantturn.MarkOpening && conn == nil && b.full:
+		platformtest.Bounce(packet)
+		sim.sendFromBackend(b, packet)
 	case p.Mark == currantturn.MarkOpening:
 		if conn == nil {
 			conn = &connection{initialSequence: sim.rng.Uint32(), nextSequence: p.Sequence + 1}
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -25,8 +25,8 @@
 )
 
 var opaqueFlowDefinitions = []Definition{
-	{FlowDeclined, "flow_declined", Info, "backend server did not accept a new flow; the flow is placed on another one", fields("flow backend tries")},
-	{FlowUnanswered, "flow_unanswered", Info, "opening packet was not answered in time; the flow is placed on another backend server", fields("flow backend tries waited")},
+	{FlowDeclined, "flow_declined", Info, "backend server did not accept a new flow; another one gets it, if there is one", fields("flow backend tries")},
+	{FlowUnanswered, "flow_unanswered", Info, "opening packet was not answered in time; another backend server gets it, if there is one", fields("flow backend tries waited")},
 	{FlowFound, "flow_found", Debug, "search found the flow's holder", fields("flow backend elapsed")},
 	{FlowReset, "flow_reset", Info, "reset was sent to the caller: its flow is refused or no longer exists", fields("flow reason searched")},
 	{FlowForgotten, "flow_forgotten", Info, "backend server no longer holds an open flow; a reset was sent to the caller", fields("flow backend")},
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -47,6 +47,7 @@
 var intents = [...]currantturn.Intent{
 	currantturn.IntentRoute, currantturn.IntentPlace, currantturn.IntentHeld,
 	currantturn.IntentSearch, currantturn.IntentAbsent, currantturn.IntentDeclined,
+	currantturn.IntentUnanswered,
 }
 
 // MaxRecipients is the largest number of recipients of one search.
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -34,6 +34,7 @@
 	},
 		Entry(nil, currantturn.IntentPlace), Entry(nil, currantturn.IntentHeld), Entry(nil, currantturn.IntentSearch),
 		Entry(nil, currantturn.IntentAbsent), Entry(nil, currantturn.IntentDeclined),
+		Entry(nil, currantturn.IntentUnanswered),
 	)
 
 	It("carries the recipients of a search, and the balancer that it is forwarded for", func() {
--- a/packet.go
+++ b/packet.go
@@ -76,6 +76,10 @@
 	IntentSearch   Intent = "search"   // the receiver delivers the packet if it holds the flow
 	IntentAbsent   Intent = "absent"   // returned to a balancer: the agent does not hold the flow
 	IntentDeclined Intent = "declined" // returned to a balancer: the agent did not accept the new flow
+
+	// IntentUnanswered returns an opening packet to a balancer that the backend server has
+	// received, but not answered yet.
+	IntentUnanswered Intent = "unanswered"
 )
 
 // MaxRanks is the maximum number of ranked backend servers in an envelope.
