platform, statesync: entries of other writers harm no other reader

A heartbeat about a change that changed no registration names an unchanged one, which old processes accept too (they reject fields that they don't know). Only entries that changed something count against its limit of four.

--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -132,6 +132,7 @@
 	Unconfirmed uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
 	Peers       int    `json:"peers"`      // other balancers that are alive
 	Registered  int    `json:"registered"` // current registrations
+	Unreadable  int    `json:"unreadable"` // store entries that cannot be decoded, at a balancer that reads the store
 	Announced   uint64 `json:"announced"`  // announcements of agents that receive nothing from balancers
 
 	Ages metric.Summary `json:"ages"` // age of configuration and registrations, at each heartbeat
@@ -317,7 +318,7 @@
 // keepChange keeps the registrations of a small change for the next heartbeats.
 func (f *Feed) keepChange(now time.Time, changes currantturn.Listing, next *State) {
 	f.changed, f.changedSince = nil, f.state.Revision
-	if next.Routing != f.state.Routing || len(changes.Items) > maxHeartbeatChanges {
+	if next.Routing != f.state.Routing {
 		return
 	}
 	for _, item := range changes.Items {
@@ -325,9 +326,19 @@
 		if item.Registration != nil {
 			id = item.Registration.ID
 		}
-		if e, ok := f.servers.Get(now, id); ok {
-			f.changed = append(f.changed, e)
+		e, ok := f.servers.Get(now, id)
+		if !ok {
+			continue // written by another writer, or removed before it was known
 		}
+		if len(f.changed) == maxHeartbeatChanges {
+			f.changed = nil
+			return
+		}
+		f.changed = append(f.changed, e)
+	}
+	if len(f.changed) == 0 {
+		// Any unchanged registration shows peers that there is nothing to pull.
+		f.changed = next.Servers[:min(len(next.Servers), 1)]
 	}
 }
 
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -351,6 +352,35 @@
 		Expect(f.pulls - before).To(BeNumerically("<=", 3))
 	})
 
+	// Each pull transfers the whole state, and other writers may write at any rate.
+	DescribeTable("is not pulled because another writer writes what names no backend server", func(write func(h *history)) {
+		f := newFleet(12)
+		f.store = newHistory()
+		f.store.configure(7)
+		f.store.register(registration("a", 0))
+		f.run(3 * time.Second)
+		before := f.pulls
+		for range 20 {
+			write(f.store)
+			f.run(300 * time.Millisecond)
+		}
+		f.run(time.Second)
+		Expect(f.pulls-before).To(BeNumerically("<", 12), "once per balancer")
+		for _, b := range f.balancers {
+			s := b.feed.State(f.now)
+			Expect(s.Position).To(Equal(f.store.Position))
+			Expect(s.Servers).To(HaveLen(1))
+		}
+	},
+		Entry("under the key of a registration", func(h *history) { h.append(currantturn.Item{Removed: "foreign"}) }),
+		Entry("under the keys of many registrations", func(h *history) {
+			for n := range 50 {
+				h.append(currantturn.Item{Removed: currantturn.BackendID(fmt.Sprint("foreign-", n))})
+			}
+		}),
+		Entry("under another key", func(h *history) { h.Revision++ }),
+	)
+
 	It("is watched by the balancers with the fastest links", func() {
 		f := newFleet(6)
 		for i, b := range f.balancers {
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -108,7 +108,9 @@
 
 // PublishedCounters returns the feed's totals of reading published states.
 func (b *FlowBalancer) PublishedCounters() statesync.Counters {
-	return b.feed.Counters(b.opts.Clock())
+	c := b.feed.Counters(b.opts.Clock())
+	c.Unreadable = b.opts.Store.Unreadable()
+	return c
 }
 
 // Close stops the balancer at once.
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -27,6 +27,8 @@
 	down         atomic.Bool
 }
 
+func (s *flowStore) Unreadable() int { return 0 }
+
 func (s *flowStore) listing(items ...currantturn.Item) (currantturn.Listing, error) {
 	if s.down.Load() {
 		return currantturn.Listing{}, currantturn.ErrUnavailable
--- a/store.go
+++ b/store.go
@@ -30,4 +30,6 @@
 	// Watch returns the changes after a revision. If there are none, it waits up to
 	// wait for one.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
+	// Unreadable returns how many items were unusable when last read.
+	Unreadable() int
 }
