flowbalancer: a registration of a service without a route displaces no backend server

Another writer's entry may name a service that no configuration has, and the address of a backend server. Two specs failed: such an entry, created later, took the backend server's place, so that it got no flows; and with an address where nothing answers it kept searches from ever ending, so that lost flows were not reset even when it was known which services the routes led to.

Of two registrations with one address the one whose service has a route (or had one, as far as the record reaches) is used; only those are searched, once the record of routes is complete. While it is not, all are, since an earlier configuration may have led there.

Changed check: "go to the newer of two registrations with the same address" let a service without a route take an address over.

--- a/internal/coordination/flowbalancer/balancer_test.go
+++ b/internal/coordination/flowbalancer/balancer_test.go
@@ -311,6 +311,9 @@
 		old := sim.backends["verify-00"]
 		next := sim.addBackend(3)
 		next.registration.Address, next.registration.CreatedRevision, next.registration.Service = old.registration.Address, 50, "other"
+		sim.routing.Routes = append(sim.routing.Routes, currantturn.FlowRoute{
+			Address: netip.MustParseAddrPort("198.18.0.9:443"), Shares: []currantturn.Share{{Service: "other", Weight: 1}},
+		})
 		sim.publish()
 		for range 20 {
 			sim.addCaller(0)
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -25,9 +25,11 @@
 	recordedSince   time.Time
 	routes          map[netip.AddrPort]*currantturn.FlowRoute    // by service address
 	earlierServices map[netip.AddrPort][]currantturn.ServiceName // services that a route used to lead to, by service address
+	routed          map[currantturn.ServiceName]bool             // services that a route leads or, as far as known, used to lead to
 	placeable       map[currantturn.ServiceName][]*target        // targets that may get new flows
 	byService       map[currantturn.ServiceName][]*target        // targets that may hold flows
 	targets         []*target                                    // one per agent
+	routedTargets   []*target                                    // those of them whose service is routed
 	gone            []*target                                    // those of them without a registration
 	byAgent         map[netip.AddrPort]*target                   // by link address
 }
@@ -45,6 +47,7 @@
 		recordedSince:   now.Add(-source.Recorded()),
 		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute),
 		earlierServices: make(map[netip.AddrPort][]currantturn.ServiceName),
+		routed:          make(map[currantturn.ServiceName]bool),
 		placeable:       make(map[currantturn.ServiceName][]*target),
 		byService:       make(map[currantturn.ServiceName][]*target),
 		byAgent:         make(map[netip.AddrPort]*target),
@@ -53,17 +56,21 @@
 		for i := range source.Routing.Routes {
 			route := &source.Routing.Routes[i]
 			p.routes[route.Address] = route
+			for _, s := range route.Shares {
+				p.routed[s.Service] = true
+			}
 		}
 	}
 	for i := range source.Earlier {
 		p.addEarlierService(source.Earlier[i].Address, source.Earlier[i].Service)
+		p.routed[source.Earlier[i].Service] = true
 	}
 	for i := range source.Servers {
 		e := &source.Servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
 		other := p.byAgent[agent]
-		contested := source.Unverified && other != nil && contest(e, &other.entry)
-		if other != nil && !supersedes(e, &other.entry) {
+		contested := source.Unverified && other != nil && p.contest(e, &other.entry)
+		if other != nil && !p.supersedes(e, &other.entry) {
 			other.contested = other.contested || contested
 			continue
 		}
@@ -86,6 +93,9 @@
 		if t.deregistered() {
 			p.gone = append(p.gone, t)
 		}
+		if p.routed[t.entry.Service] {
+			p.routedTargets = append(p.routedTargets, t)
+		}
 	}
 	return p
 }
@@ -134,10 +144,14 @@
 }
 
 // supersedes reports whether registration a is used instead of b, which has the same
-// address. One that still exists is preferred to a removed one. Of two removed ones
+// address. One of a service without a route, which may be by another writer, is never
+// preferred. One that still exists is preferred to a removed one. Of two removed ones
 // the one removed later is used; of two others the one whose backend server started
 // later or, with equal start times, the one created later.
-func supersedes(a, b *roster.Entry) bool {
+func (p *plan) supersedes(a, b *roster.Entry) bool {
+	if p.routed[a.Service] != p.routed[b.Service] {
+		return p.routed[a.Service]
+	}
 	if a.Gone.IsZero() != b.Gone.IsZero() {
 		return a.Gone.IsZero()
 	}
@@ -152,8 +166,8 @@
 
 // contest reports whether two registrations with one address are both in force, and
 // which one is later is unknown unless their revisions are of one era.
-func contest(a, b *roster.Entry) bool {
-	return a.Gone.IsZero() && b.Gone.IsZero() && a.StartedAt.Equal(b.StartedAt)
+func (p *plan) contest(a, b *roster.Entry) bool {
+	return p.routed[a.Service] == p.routed[b.Service] && a.Gone.IsZero() && b.Gone.IsZero() && a.StartedAt.Equal(b.StartedAt)
 }
 
 // addEarlierService records a service that a route used to lead to, unless it still
@@ -172,9 +186,12 @@
 // routeHolders returns the targets that may hold a flow of the route, as far as it is
 // known which services the route led to.
 func (p *plan) routeHolders(route *currantturn.FlowRoute) []*target {
-	if len(p.targets) <= searchAllLimit || p.provisional {
+	if p.provisional {
 		return p.targets
 	}
+	if len(p.targets) <= searchAllLimit {
+		return p.routedTargets
+	}
 	var all []*target
 	for _, s := range route.Shares {
 		all = append(all, p.byService[s.Service]...)
