flowagent: follow a backend server that restarts before the caller acknowledges its answer

The agent kept the sequence number of the first answer to an opening packet. If the backend server restarted and a copy of the opening packet opened the flow at its next incarnation, the caller's packets seemed to acknowledge another backend server's answer: they were denied, and the flow was reset although it was held. Two entries of a new spec failed.

Another spec shows that a bounce frees the slot of a request that a restart lost, which held before.

--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -250,6 +250,41 @@
 		Expect(t.out.Answers).To(BeEmpty(), "a second reset")
 	})
 
+	// A restart loses the backend server's answer to the opening packet; the caller's copy
+	// opens the flow at its next incarnation.
+	DescribeTable("follows a backend server that restarts before the caller acknowledges its answer", func(first, second uint32) {
+		t := newTestAgent(true)
+		t.route(caller, currantturn.IntentPlace, syn, 100, 0, 0)
+		t.answer(caller, syn|ack, first, 101, 0)
+		t.route(caller, currantturn.IntentHeld, syn, 100, 1, 0)
+		t.answer(caller, syn|ack, second, 101, 0)
+		t.route(caller, currantturn.IntentHeld, ack, 101, first+1, 20)
+		Expect(t.out.Deliveries).To(BeEmpty(), "it acknowledges the earlier incarnation's answer")
+		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentAbsent}))
+		t.route(caller, currantturn.IntentHeld, ack, 101, second+1, 20)
+		Expect(t.out.Deliveries).To(HaveLen(1))
+	},
+		Entry("with a higher sequence number", uint32(500), uint32(1<<30)),
+		Entry("with a lower sequence number", uint32(1<<30), uint32(500)),
+	)
+
+	It("frees the slot of a request that a restart of the backend server lost, once a packet bounces", func() {
+		t := newTestAgent(true)
+		for n := range byte(4) {
+			t.open(otherCaller(n))
+			t.route(otherCaller(n), currantturn.IntentHeld, ack, 101, 501, 50)
+		}
+		Expect(t.agent.Counters().Running).To(Equal(1))
+		t.bounce(otherCaller(0), ack, 101, 501, 50) // the caller's copy
+		t.tick(10 * time.Millisecond)
+		Expect(t.out.Deliveries).To(HaveLen(1), "the next one, which bounces too")
+		t.bounce(otherCaller(1), ack, 101, 501, 50)
+		t.open(otherCaller(9))
+		t.tick(10 * time.Millisecond)
+		Expect(t.agent.Counters().Flows).To(Equal(5))
+		Expect(t.agent.Counters().Forgotten).To(Equal(uint64(2)))
+	})
+
 	It("returns an opening packet that bounces or is not answered in time", func() {
 		t := newTestAgent(true)
 		t.route(caller, currantturn.IntentPlace, syn, 100, 0, 0)
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -56,6 +56,11 @@
 			Flow: relay.FlowOf(p.Flow), Load: a.currentLoad(now),
 		})
 	}
+	if p.Mark == currantturn.MarkOpening && r.progress == answered && r.sequencesKnown && p.Sequence != r.firstSequence {
+		// The backend server has restarted, and a copy of the opening packet opens the flow
+		// at its next incarnation.
+		r.firstSequence, r.lastSequence = p.Sequence, p.Sequence
+	}
 	if end := p.Sequence + uint32(p.DataSize); r.sequencesKnown && end-r.firstSequence < 1<<31 && end-r.firstSequence > r.lastSequence-r.firstSequence {
 		r.lastSequence = end
 	}
