warmup: limit the opening packets of a cold backend server

Ruled out: fixed windows (twice the limit at their border: the burst spec fails), a token bucket (its burst adds to its rate within a second), the smallest remaining time of one registration (misses a restart under the same ID).

--- /dev/null
+++ b/internal/coordination/warmup/doc.go
@@ -0,0 +1,2 @@
+// Package warmup limits the new flows of a backend server that has recently started.
+package warmup
