relay: carry the warm-up of a backend server with packets that place a flow

The agent does not read the store, so it learns rate, duration and remaining time from balancers: in the prefix of the packets that it limits, where earlier agents read recipients of a search and ignore them for other intents, and in a message of its own, since the balancers that know may be those that send no new flows.

Load.DeclinesMS is optional, but processes refuse messages with unknown fields, so it is sent only to balancers that send a warm-up themselves.

Ruled out: fields after the payload or a new frame type: earlier agents refuse both.

--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -38,6 +38,13 @@
 	recipientsOffset     = 6
 	addressBytes         = 4
 
+	// In the prefix of an opening packet that is placed, three numbers of addressBytes
+	// take the place of recipients: the warm-up of the backend server as rate in
+	// thousandths per second, and duration and remaining time in milliseconds. Earlier
+	// agents ignore recipients of such packets.
+	warmingFields = 3
+	rateUnit      = 1e-3
+
 	maxUint8  = 1<<8 - 1
 	maxUint16 = 1<<16 - 1
 )
@@ -55,8 +62,11 @@
 // AppendPacket appends the frame of an enveloped packet to dst; values outside
 // the range of their field are clamped.
 func AppendPacket(dst []byte, e *currantturn.Envelope) []byte {
-	if len(e.Recipients) > 0 || e.Balancer.IsValid() {
+	switch {
+	case len(e.Recipients) > 0 || e.Balancer.IsValid():
 		dst = appendPrefix(dst, e)
+	case e.Intent == currantturn.IntentPlace && e.Warming.WarmUp.Rate > 0:
+		dst = appendWarming(dst, &e.Warming)
 	}
 	name := e.Service[:min(len(e.Service), maxUint8)]
 	dst = append(
@@ -87,6 +97,33 @@
 	return dst
 }
 
+// appendWarming appends the prefix of a packet to a backend server with a warm-up.
+func appendWarming(dst []byte, w *currantturn.Warming) []byte {
+	dst = append(dst, typeSpread, warmingFields, 0, 0, 0, 0)
+	rate := min(max(math.Round(w.WarmUp.Rate/rateUnit), 1), math.MaxUint32)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(rate))
+	dst = binary.BigEndian.AppendUint32(dst, uint32(clampedMS(w.WarmUp.Duration)))
+	return binary.BigEndian.AppendUint32(dst, uint32(clampedMS(w.Remaining)))
+}
+
+// takeWarming replaces the recipients of a packet that is placed by the warm-up that
+// they stand for.
+func takeWarming(e *currantturn.Envelope) {
+	if e.Intent != currantturn.IntentPlace || len(e.Recipients) != warmingFields {
+		return
+	}
+	var fields [warmingFields]uint32
+	for i, r := range e.Recipients {
+		ip := r.As4()
+		fields[i] = binary.BigEndian.Uint32(ip[:])
+	}
+	e.Recipients = nil
+	e.Warming = currantturn.Warming{
+		WarmUp:    currantturn.WarmUp{Rate: float64(fields[0]) * rateUnit, Duration: time.Duration(fields[1]) * time.Millisecond},
+		Remaining: time.Duration(fields[2]) * time.Millisecond,
+	}
+}
+
 // decodePrefix decodes the prefix of a frame and returns the rest.
 func decodePrefix(frame []byte, e *currantturn.Envelope) (rest []byte, err error) {
 	if len(frame) < recipientsOffset || frame[recipientCountOffset] > MaxRecipients ||
@@ -167,6 +204,7 @@
 		e.Service = currantturn.ServiceName(name)
 	}
 	e.Packet.Payload = frame[packetHeaderBytes+len(name):]
+	takeWarming(e)
 	return nil
 }
 
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -54,6 +54,29 @@
 		Expect(got.Packet.Payload).To(Equal(sent.Packet.Payload))
 	})
 
+	It("carries the warm-up of a backend server, in a form that earlier agents ignore", func() {
+		sent := currantturn.Envelope{
+			Intent: currantturn.IntentPlace, Service: "verify", Packet: currantturn.Packet{Payload: []byte("packet")},
+			Warming: currantturn.Warming{
+				WarmUp:    currantturn.WarmUp{Duration: 2 * time.Second, Rate: 12.5},
+				Remaining: 1500 * time.Millisecond,
+			},
+		}
+		frame := relay.AppendPacket(nil, &sent)
+		var got currantturn.Envelope
+		_, err := relay.Decode(frame, "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+		// Earlier agents read a prefix with three recipients, which are for searches only,
+		// and no balancer.
+		Expect(frame[:6]).To(Equal([]byte{3, 3, 0, 0, 0, 0}))
+		without := sent
+		without.Warming = currantturn.Warming{}
+		Expect(frame[6+3*4:]).To(Equal(relay.AppendPacket(nil, &without)))
+		sent.Intent = currantturn.IntentHeld
+		Expect(relay.AppendPacket(nil, &sent)[0]).To(Equal(byte(1)), "only packets that place a flow carry it")
+	})
+
 	It("clamps numbers that do not fit into their field", func() {
 		sent := currantturn.Envelope{Intent: currantturn.IntentHeld, Demand: currantturn.Demand{Slots: 1000, Timeout: time.Hour}}
 		var got currantturn.Envelope
@@ -75,6 +98,11 @@
 		Entry(nil, relay.Held{Flow: flow}), Entry(nil, relay.Absent{Flow: flow}),
 		Entry(nil, relay.Report{Load: relay.Load{Unresponsive: true}}),
 		Entry(nil, relay.Announce{Service: "verify", FailureDomain: "hall-a"}),
+		Entry(nil, relay.Report{Load: relay.Load{Running: 1, DeclinesMS: 700}}),
+		Entry(nil, relay.WarmUp{
+			Warming:  currantturn.Warming{WarmUp: currantturn.WarmUp{Duration: 2 * time.Second, Rate: 12.5}, Remaining: time.Second},
+			Revision: 3, Era: 2,
+		}),
 	)
 
 	It("carries a list of MaxFlows flows within a datagram", func() {
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -15,6 +15,10 @@
 	ServiceTimeUS uint32 `cbor:"3,keyasint"` // mean service time of recent requests, microseconds
 	Unresponsive  bool   `cbor:"4,keyasint"` // the backend server does not answer
 	Waiting       int    `cbor:"5,keyasint"` // requests that are queued for a slot
+	// DeclinesMS is for how many milliseconds the agent declines new flows because the
+	// backend server is cold. It is sent only to balancers that send the warm-up, since
+	// earlier ones refuse messages with unknown fields.
+	DeclinesMS uint16 `cbor:"20,keyasint,omitempty"`
 }
 
 // ServiceTime returns the mean service time of recent requests.
@@ -128,6 +132,22 @@
 // Kind returns the name of the message kind on the wire.
 func (Announce) Kind() currantturn.Kind { return "announce" }
 
+// WarmUp notifies an agent that its backend server has started, in case only balancers
+// that do not know this send it new flows.
+type WarmUp struct {
+	Warming  currantturn.Warming `cbor:"1,keyasint"`
+	Revision uint64              `cbor:"2,keyasint"` // of the newest published state that the balancer has received
+	Era      uint64              `cbor:"3,keyasint,omitempty"`
+}
+
+// Position returns the position of the newest state that the sender has received.
+func (w *WarmUp) Position() currantturn.Position {
+	return currantturn.Position{Era: w.Era, Revision: w.Revision}
+}
+
+// Kind returns the name of the message kind on the wire.
+func (WarmUp) Kind() currantturn.Kind { return "warm_up" }
+
 // Probe requests an immediate Report from an agent.
 type Probe struct{}
 
@@ -143,4 +163,5 @@
 	message.Register[Report]()
 	message.Register[Probe]()
 	message.Register[Announce]()
+	message.Register[WarmUp]()
 }
--- a/packet.go
+++ b/packet.go
@@ -105,4 +105,6 @@
 	// Recipients are agents that the receiver forwards a search to, with the sender as
 	// its Balancer.
 	Recipients []netip.Addr
+	// Warming is the warm-up of the receiver's backend server, with IntentPlace.
+	Warming Warming
 }
--- a/roster.go
+++ b/roster.go
@@ -58,4 +58,26 @@
 	Version     Version       `cbor:"1,keyasint"`
 	Routes      []FlowRoute   `cbor:"2,keyasint"`
 	IdleTimeout time.Duration `cbor:"3,keyasint"` // of a flow; zero if none is configured
+	// WarmUps are the services whose cold backend servers have a limit on new flows.
+	WarmUps []ServiceWarmUp `cbor:"4,keyasint,omitempty"`
+}
+
+// WarmUp is the limit on new flows of a backend server that has recently started.
+type WarmUp struct {
+	Duration time.Duration `cbor:"1,keyasint"` // for which it is cold after its start; zero if none is configured
+	Rate     float64       `cbor:"2,keyasint"` // requests per second that it bears while cold; 0 means no limit
+}
+
+// ServiceWarmUp is the warm-up of a service's backend servers.
+type ServiceWarmUp struct {
+	Service ServiceName `cbor:"1,keyasint"`
+	WarmUp  WarmUp      `cbor:"2,keyasint"`
+}
+
+// Warming is what a balancer knows of the warm-up of a backend server.
+type Warming struct {
+	WarmUp WarmUp `cbor:"1,keyasint"` // of its service
+	// Remaining is the longest time for which it may still be cold; the age of that
+	// knowledge is subtracted. Zero means warm.
+	Remaining time.Duration `cbor:"2,keyasint"`
 }
