placement: a cold backend server's share rises from its rate to the whole

Without a configured rate the slowness stays 2, as before (spec 'prefers one that is not warming up' unchanged). With one, the share begins at the part of the usual work that the rate makes and rises evenly over the warm-up.

--- a/internal/coordination/placement/constants.go
+++ b/internal/coordination/placement/constants.go
@@ -7,6 +7,9 @@
 	openFlowWeight = 0.03
 	// warmUpSlowness is the slowness assumed of a recently started backend server.
 	warmUpSlowness = 2
+	// minColdShare is the least share of the usual work that a cold backend server is
+	// expected to do, so that it is still chosen when the others are full.
+	minColdShare = 0.01
 	// maxSlowness limits the effect of a measured service time on the cost.
 	maxSlowness = 10
 	// slowThreshold is the slowness from which a backend server is logged as slow: it
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -13,6 +13,8 @@
 	Flows       int           // open flows, as last reported
 	ServiceTime time.Duration // average time to an answer; zero if unknown
 	WarmingUp   bool          // true if it started recently
+	WarmUpRate  float64       // requests per second that it bears when it has just started; 0 if not configured
+	Warmth      float64       // elapsed part of its warm-up, with WarmUpRate
 	Local       bool          // true if it is in the balancer's failure domain
 	Avoid       bool          // true if it recently failed to answer
 }
@@ -40,7 +42,7 @@
 	slots := float64(max(c.Slots, 1))
 	slowness := c.slowness(usual)
 	if c.WarmingUp {
-		slowness = max(slowness, warmUpSlowness)
+		slowness = max(slowness, c.coldness(usual))
 	}
 	busy := float64(c.Running + c.Sent + 1)
 	total := slowness * (busy/slots + openFlowWeight*float64(c.Flows)/slots)
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -111,6 +111,23 @@
 		Entry("one in the same failure domain", placement.Candidate{Local: true, Running: 1}, placement.Candidate{Running: 2}),
 	)
 
+	// At 60 requests per second, three slots of 50 ms are full; one that bears 12 when cold
+	// does a fifth of that.
+	DescribeTable("gives a cold backend server with a rate a share that rises from that rate to the whole", func(warmth, share float64) {
+		warm := placement.Candidate{Slots: 3, ServiceTime: 50 * time.Millisecond, Running: 10, Local: true}
+		cold := placement.Candidate{Slots: 3, WarmingUp: true, WarmUpRate: 12, Warmth: warmth, Local: true}
+		taken := 0
+		for ; taken < 20; taken++ {
+			cold.Running = taken
+			if choose(rng(), []placement.Candidate{warm, cold}) != 1 {
+				break
+			}
+		}
+		Expect(float64(taken)).To(BeNumerically("~", share*10, 1))
+	},
+		Entry(nil, 0.0, 0.2), Entry(nil, 0.25, 0.4), Entry(nil, 0.5, 0.6), Entry(nil, 1.0, 1.0), Entry(nil, 7.0, 1.0),
+	)
+
 	It("avoids a slow backend server among faster ones", func() {
 		fast := placement.Candidate{Slots: 3, ServiceTime: 20 * time.Millisecond, Running: 1}
 		slow := placement.Candidate{Slots: 3, ServiceTime: 100 * time.Millisecond}
