flowagent: decline new flows beyond the limit of a cold backend server

At once, by the intent that makes the balancer place them elsewhere; they don't count as unanswered. Copies of opening packets count, because the backend server may not have received the first, and are held back beyond the limit while the flow is held here. Load reports say for how long new flows are declined.

A backend server that answers again after it did not, or has lost an open flow, counts as cold for one warm-up: its registration arrives later than its first answers.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/backlog"
+	"github.com/currantturn/currantturn/internal/coordination/warmup"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
@@ -32,6 +33,9 @@
 	// Fresh is true if no flow can be older than this process.
 	Fresh    bool
 	MaxFlows int // limit on tracked flows; 0 means DefaultMaxFlows
+	// WarmUpOvershoot and WarmUpTolerance turn the rate of a service into the limit on
+	// the opening packets of a cold backend server per second: rate x overshoot + tolerance.
+	WarmUpOvershoot, WarmUpTolerance float64
 }
 
 // Agent routes the packets of opaque flows to and from one backend server.
@@ -62,11 +66,13 @@
 	// each balancer.
 	denials map[netip.AddrPort]relay.Flows
 	backlog backlog.Backlog
+	warmUp  *warmup.Limiter
+	cold    bool // whether the last event reported the backend server as cold
 }
 
 // counts are the running totals that Counters returns.
 type counts struct {
-	delivered, bounced, returned, declined, forgotten, answers, foreign, full, waited, gaveUp atomic.Uint64
+	delivered, bounced, returned, declined, forgotten, answers, foreign, full, waited, gaveUp, limited atomic.Uint64
 }
 
 // Counters are an agent's totals since its start.
@@ -81,6 +87,7 @@
 	Full      uint64 `json:"full"`      // packets of flows without a record for which the flow table had no room
 	Waited    uint64 `json:"waited"`    // requests that waited for a slot
 	GaveUp    uint64 `json:"gave_up"`   // requests dropped because their timeout expired while they waited
+	Limited   uint64 `json:"limited"`   // opening packets not delivered because the backend server is cold
 	Flows     int    `json:"flows"`     // flows tracked now
 	Running   int    `json:"running"`   // requests in progress now
 
@@ -103,6 +110,9 @@
 		waitTimes:     metric.NewHistogram(),
 		openTimes:     metric.NewHistogram(),
 		serviceTimes:  metric.NewHistogram(),
+		warmUp: warmup.New(warmup.Options{
+			Overshoot: opts.WarmUpOvershoot, Tolerance: opts.WarmUpTolerance, Started: opts.Started, Fresh: opts.Fresh,
+		}),
 	}
 	a.SetService(opts.Service)
 	a.position.Store(&currantturn.Position{})
@@ -126,7 +136,7 @@
 		Delivered: c.delivered.Load(), Answers: c.answers.Load(), Bounced: c.bounced.Load(),
 		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
 		Foreign: c.foreign.Load(), Full: c.full.Load(),
-		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(),
+		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(), Limited: c.limited.Load(),
 		Flows: a.flows.Len(), Running: a.tracker.inProgress(),
 		Waits: a.waitTimes.Summary(), Opens: a.openTimes.Summary(), Serves: a.serviceTimes.Summary(),
 	}
@@ -164,11 +174,15 @@
 	switch m := m.(type) {
 	case relay.Probe:
 		a.recordBalancer(now, from)
-		out.Send(from, relay.Report{Load: a.currentLoad(now)})
+		out.Send(from, relay.Report{Load: a.loadFor(now, from)})
 	case relay.Query:
 		a.recordBalancer(now, from)
 		a.updatePosition(m.Position())
 		out.Send(from, a.answerQuery(now, m.Flows))
+	case relay.WarmUp:
+		a.recordBalancer(now, from)
+		a.updatePosition(m.Position())
+		a.learnWarmUp(now, from, m.Position(), m.Warming)
 	}
 }
 
@@ -256,6 +270,7 @@
 		return false
 	})
 	a.releaseRequests(now, out)
+	a.reportWarmUp(now, out)
 	a.sendDenials(out)
 	a.sendReports(now, out)
 }
@@ -290,10 +305,11 @@
 
 // markBackendResponsive clears the unresponsive state: any packet from the backend
 // server shows that it is responsive.
-func (a *Agent) markBackendResponsive(out *currantturn.Effects) {
+func (a *Agent) markBackendResponsive(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.unresponsiveSince.IsZero() {
+		a.warmUp.RecordRecovery(now)
 		out.Event(event.BackendAnswers, event.F("backend", a.opts.Backend))
 	}
 	a.unansweredOpenings, a.unresponsiveSince = 0, time.Time{}
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -11,7 +11,7 @@
 // Answer processes a packet from the backend server: an answer to a caller, or a
 // caller's packet that bounced.
 func (a *Agent) Answer(now time.Time, p *currantturn.Packet, out *currantturn.Effects) {
-	a.markBackendResponsive(out)
+	a.markBackendResponsive(now, out)
 	if p.Bounced {
 		a.counts.bounced.Add(1)
 		a.handleBounce(now, p, out)
@@ -53,7 +53,7 @@
 		a.openTimes.Record(now.Sub(r.openingSent))
 		r.firstSequence, r.lastSequence, r.sequencesKnown = p.Sequence, p.Sequence, true
 		out.Send(r.balancer, relay.Accepted{
-			Flow: relay.FlowOf(p.Flow), Load: a.currentLoad(now),
+			Flow: relay.FlowOf(p.Flow), Load: a.loadFor(now, r.balancer),
 		})
 	}
 	if end := p.Sequence + uint32(p.DataSize); r.sequencesKnown && end-r.firstSequence < 1<<31 && end-r.firstSequence > r.lastSequence-r.firstSequence {
@@ -98,6 +98,7 @@
 			return r
 		}
 		a.counts.forgotten.Add(1)
+		a.recordForgotten(now)
 		out.Event(event.FlowForgotten, event.F("flow", p.Flow), event.F("backend", a.opts.Backend))
 		out.Answers = append(out.Answers, currantturn.Packet{
 			Flow: p.Flow, Mark: currantturn.MarkReset, Payload: a.opts.Codec.Reset(p),
--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -15,6 +15,7 @@
 	lastReceived time.Time  // when its last packet arrived
 	lastReported time.Time  // when it was last sent a report
 	reportedLoad relay.Load // in that report
+	sendsWarmUp  bool       // whether it sends the warm-up, and so reads it in reports
 }
 
 // recordBalancer records a packet from a balancer, so that reports are sent to
@@ -52,6 +53,7 @@
 	load := a.currentLoad(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	declines := a.declinesMS(now)
 	var due []netip.AddrPort
 	for at, receiver := range a.balancers {
 		if now.Sub(receiver.lastReceived) > balancerTimeout {
@@ -59,6 +61,7 @@
 			continue
 		}
 		age := now.Sub(receiver.lastReported)
+		load.DeclinesMS = receiver.readable(declines)
 		if age < reportInterval || receiver.reportedLoad == load && age < refreshInterval {
 			continue
 		}
@@ -72,6 +75,7 @@
 			return
 		}
 		receiver := a.balancers[at]
+		load.DeclinesMS = receiver.readable(declines)
 		receiver.lastReported, receiver.reportedLoad = now, load
 		out.Send(at, relay.Report{Load: load})
 	}
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -27,6 +27,7 @@
 	}
 	a.recordBalancer(now, from)
 	a.updatePosition(e.Position)
+	a.learnWarmUp(now, from, e.Position, e.Warming)
 	a.forwardSearch(from, e, out)
 	in := &inboundPacket{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
@@ -72,8 +73,8 @@
 }
 
 // handleOpening processes an opening packet: a repeated one is delivered to its
-// flow, any other starts a new flow unless the backend server is unresponsive or there
-// is no room for its record.
+// flow, any other starts a new flow unless the backend server is unresponsive or cold
+// and at its limit, or there is no room for its record.
 func (a *Agent) handleOpening(in *inboundPacket, r *flowRecord, room bool) *flowRecord {
 	switch {
 	case !room:
@@ -84,9 +85,11 @@
 		return r
 	case r != nil && r.progress != closed && r.progress != unconfirmed:
 		r.lastSeen = in.now
-		a.deliver(in)
+		if a.takeOpening(in.now) {
+			a.deliver(in)
+		}
 		return r
-	case !a.mayDeliverOpening(in.now):
+	case !a.mayDeliverOpening(in.now) || !a.takeOpening(in.now):
 		a.refuse(in)
 		return r
 	}
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -22,6 +22,8 @@
 	AgentSilent      = 838
 	AgentHeard       = 839
 	FlowOverflowed   = 840
+	BackendCold      = 851
+	BackendWarm      = 852
 )
 
 var opaqueFlowDefinitions = []Definition{
@@ -37,6 +39,8 @@
 	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do, and its registration is gone; it is treated as holding no flows", fields("backend peer unanswered registered")},
 	{AgentHeard, "agent_heard", Info, "agent answers again", fields("backend peer")},
 	{FlowOverflowed, "flow_overflowed", Info, "new flow goes to another service of its route: the drawn one has no backend server for it, or only overloaded ones", fields("flow drawn service")},
+	{BackendCold, "backend_cold", Info, "backend server has started, or may have; it gets new flows up to the limit only", fields("backend rate limit")},
+	{BackendWarm, "backend_warm", Info, "backend server is warm; the limit on new flows is lifted", fields("backend limited")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned to its balancer", fields("flow service")},
 	{RequestGivenUp, "request_given_up", Info, "caller abandoned a request that waited for a slot; the request did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram cannot be decoded", fields("peer error")},
