flowbalancer: leave cold backend servers that decline new flows alone

Balancers send the warm-up with the packets that place flows, skip those whose agents decline at present without counting that as a failure, and notify the agent of a backend server that has become cold: about eight balancers each, whatever their number, one message a tick. A flow is refused after eight declined, since a service that is cold as a whole must not pass it from one to the next.

Specs play 500 flows a second over three balancers beside a restart, a balancer that does not learn of it, a registration that comes late, an agent that loses its count and a service that is cold as a whole.

--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -60,7 +60,9 @@
 	holdersLearned bool // since the last tick
 	// deferred are searches that wait for a newer published state.
 	deferred    []currantturn.FlowKey
-	sweepNumber int // number of the last sweep of the flow table
+	peers       int       // other balancers that are alive
+	cold        []*target // whose agents are to be notified of the warm-up
+	sweepNumber int       // number of the last sweep of the flow table
 	lastProbe   time.Time
 	counts      counts
 }
@@ -177,6 +179,7 @@
 	p := newPlan(now, &s, b.opts.AgentPort, old)
 	b.plan.Store(p)
 	b.updateLearned(p)
+	b.queueCold(now, p, old)
 	deferred := b.deferred
 	b.deferred = nil
 	b.mu.Unlock()
@@ -241,7 +244,7 @@
 			return true
 		}
 	}
-	return b.searches.Len()+b.rechecks.Len()+len(b.queries)+len(b.unsure)+len(b.buffered) > 0
+	return b.searches.Len()+b.rechecks.Len()+len(b.queries)+len(b.unsure)+len(b.buffered)+len(b.cold) > 0
 }
 
 // Configure does nothing: this balancer uses published states.
@@ -276,5 +279,6 @@
 	b.sendQueries(now, out)
 	b.probe(now, out)
 	b.probeEnded(now, out)
+	b.notifyCold(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -16,6 +16,10 @@
 	// The timeout doubles with each, so that retries do not fill a congested link
 	// further.
 	maxAttempts = 3
+	// maxColdTries limits the backend servers that decline one opening packet, of a service
+	// whose cold ones have a limit: more than placementCandidates, after which those that
+	// are not known to decline were chosen. A whole service that is cold refuses at once.
+	maxColdTries = 8
 	// placementCandidates is how many of the highest-ranked backend servers a new
 	// flow is placed among: enough to spread work nearly as well as a choice among
 	// all.
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -58,6 +58,7 @@
 	for i := range source.Earlier {
 		p.addEarlierService(source.Earlier[i].Address, source.Earlier[i].Service)
 	}
+	warmUps := indexWarmUps(source.Routing)
 	for i := range source.Servers {
 		e := &source.Servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
@@ -69,6 +70,7 @@
 		}
 		p.byAgent[agent] = newTarget(now, e, agent, old)
 		p.byAgent[agent].contested = contested
+		p.byAgent[agent].warmUp = warmUps[e.Service]
 	}
 	for i := range source.Servers {
 		t := p.byAgent[netip.AddrPortFrom(source.Servers[i].Address.Addr(), agentPort)]
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -118,8 +118,7 @@
 		return
 	}
 	if t == nil {
-		b.counts.refused.Add(1)
-		b.resetAndForget(now, packet, e, "no backend server takes new flows", out)
+		b.refuse(now, packet, e, out)
 		return
 	}
 	if len(e.tried) == 0 {
@@ -140,6 +139,12 @@
 	}
 }
 
+// refuse resets a new flow that no backend server takes.
+func (b *Balancer) refuse(now time.Time, packet *currantturn.Packet, e *entry, out *currantturn.Effects) {
+	b.counts.refused.Add(1)
+	b.resetAndForget(now, packet, e, "no backend server takes new flows", out)
+}
+
 // send forwards a packet to a target's agent. One that searches counts as a query.
 func (b *Balancer) send(
 	now time.Time, t *target, route *currantturn.FlowRoute, intent currantturn.Intent, packet *currantturn.Packet, out *currantturn.Effects,
@@ -149,7 +154,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Position: b.plan.Load().position,
+		Position: b.plan.Load().position, Warming: t.warming(now, intent),
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: route.Priority, LatencyObjective: route.LatencyObjective, Timeout: route.Timeout,
 		},
@@ -209,6 +214,10 @@
 		return
 	}
 	out.Event(event.FlowDeclined, event.F("flow", packet.Flow), event.F("backend", t.entry.ID), event.F("tries", len(e.tried)))
+	if t.warmUp.Rate > 0 && len(e.tried) >= maxColdTries {
+		b.refuse(now, packet, e, out)
+		return
+	}
 	b.place(now, p, route, packet, e, out)
 }
 
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -106,8 +106,9 @@
 	serviceTime  time.Duration
 	queue        []func()
 	busySlots    int
-	requestsRun  int // requests completed
-	crashes      int // how often it has lost its memory
+	requestsRun  int         // requests completed
+	crashes      int         // how often it has lost its memory
+	openings     []time.Time // when opening packets arrived
 }
 
 // connection is the state of a flow at its backend server, as sequence numbers.
@@ -213,6 +214,7 @@
 func (sim *simulation) restartAgent(b *backendVM, fresh bool) {
 	b.agent = flowagent.New(flowagent.Options{
 		Codec: sim.codec, Service: b.registration.Service, Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh, Seeds: sim.seeds(),
+		WarmUpOvershoot: 1.5, WarmUpTolerance: 5,
 	})
 }
 
@@ -440,6 +442,7 @@
 	conn := b.flows[p.Flow.Caller]
 	switch {
 	case p.Mark == currantturn.MarkOpening:
+		b.openings = append(b.openings, sim.now)
 		if conn == nil {
 			conn = &connection{initialSequence: sim.rng.Uint32(), nextSequence: p.Sequence + 1}
 			b.flows[p.Flow.Caller] = conn
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -24,6 +24,7 @@
 	// contested is true if another backend server may own the address. Its agent may hold
 	// flows, but gets no new ones.
 	contested bool
+	warmUp    currantturn.WarmUp // of the service
 
 	mu                 sync.Mutex
 	load               relay.Load
@@ -31,6 +32,7 @@
 	sentSinceReport    int // new flows
 	avoidUntil         time.Time
 	warmUpUntil        time.Time
+	declinesUntil      time.Time         // until when the agent declines new flows because the backend server is cold
 	unanswered         unansweredQueries // queries to the agent
 	forwards           bool              // whether the agent forwards search packets
 	loggedSlow         bool              // whether the last event reported it as slow
@@ -103,6 +105,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load, t.reportedAt, t.sentSinceReport = load, now, 0
+	t.declinesUntil = now.Add(time.Duration(load.DeclinesMS) * time.Millisecond)
 	switch {
 	case load.Unresponsive:
 		t.avoidUntil = now.Add(avoidPeriod)
@@ -129,6 +132,9 @@
 		Avoid:     now.Before(t.avoidUntil),
 		WarmingUp: now.Before(t.warmUpUntil),
 	}
+	if c.WarmingUp && t.warmUp.Rate > 0 {
+		c.WarmUpRate, c.Warmth = t.warmUp.Rate, t.warmth(now)
+	}
 	if now.Sub(t.reportedAt) < reportLifetime {
 		c.Running, c.Flows, c.ServiceTime = t.load.Running+t.load.Waiting, t.load.Flows, t.load.ServiceTime()
 	}
@@ -197,7 +203,7 @@
 	defer previous.mu.Unlock()
 	t.load, t.reportedAt, t.sentSinceReport, t.avoidUntil = previous.load, previous.reportedAt, previous.sentSinceReport, previous.avoidUntil
 	t.unanswered, t.loggedSlow, t.loggedUnresponsive = previous.unanswered, previous.loggedSlow, previous.loggedUnresponsive
-	t.forwards = previous.forwards
+	t.forwards, t.declinesUntil = previous.forwards, previous.declinesUntil
 	if previous.entry.WarmUpRemaining == e.WarmUpRemaining {
 		t.warmUpUntil = previous.warmUpUntil // the published warm-up is unchanged, so it does not start again
 	}
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -163,6 +163,13 @@
 	return all
 }
 
+// Alive returns the number of other balancers that are alive.
+func (f *Feed) Alive(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.countAlive(now)
+}
+
 // countAlive counts the peers whose last heartbeat is recent.
 func (f *Feed) countAlive(now time.Time) (n int) {
 	for _, p := range f.peers {
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -161,6 +161,7 @@
 // tick calls the machines and puts a changed state in force.
 func (b *FlowBalancer) tick(now time.Time, out *currantturn.Effects) {
 	b.SetDelegates(b.feed.Delegates(now))
+	b.SetPeers(b.feed.Alive(now))
 	if b.feed.Tick(now, out) {
 		b.stateChanged.Store(true)
 	}
