settings: warm_up_overshoot and warm_up_tolerance of an agent

The template has them where the platform gives the bounds. Balancers don't need them: only the agent counts.

--- a/internal/core/flow_agent.go
+++ b/internal/core/flow_agent.go
@@ -24,8 +24,11 @@
 	Seeds         []netip.AddrPort // state addresses of balancers
 	FailureDomain currantturn.FailureDomain
 	FreshStart    bool // no flow can be older than this process
-	Clock         func() time.Time
-	Report        func(currantturn.Event)
+	// WarmUpOvershoot and WarmUpTolerance are as in flowagent.Options.
+	WarmUpOvershoot, WarmUpTolerance float64
+
+	Clock  func() time.Time
+	Report func(currantturn.Event)
 }
 
 // FlowAgent is a running agent of opaque flows.
@@ -47,6 +50,7 @@
 			Codec: opts.Codec, Service: opts.Service, Backend: opts.Name,
 			LinkPort: opts.Link.Port(), Started: opts.Clock(), Fresh: opts.FreshStart,
 			Seeds: seedLinks(opts.Seeds, opts.Link), FailureDomain: opts.FailureDomain,
+			WarmUpOvershoot: opts.WarmUpOvershoot, WarmUpTolerance: opts.WarmUpTolerance,
 		}),
 		outbound: outbound,
 	}
--- a/internal/process/flow.go
+++ b/internal/process/flow.go
@@ -139,6 +139,7 @@
 		Link: o.Relay.LinkAddress, Outbound: o.Relay.OutboundAddress, Backend: o.Relay.BackendAddress,
 		CallerPort: o.Relay.CallerAddress.Port(), FreshStart: o.Relay.FreshStart,
 		Seeds: o.Relay.Seeds, FailureDomain: o.Process.FailureDomain,
+		WarmUpOvershoot: o.Relay.WarmUpOvershoot, WarmUpTolerance: o.Relay.WarmUpTolerance,
 		Clock: time.Now, Report: c.report,
 	})
 	if err != nil {
@@ -168,7 +169,10 @@
 			}
 		}
 		lastStamp = readFileStamp(p.SettingsPath)
-		c.reloadSettings(func(o *settings.Options) { a.SetService(o.Relay.Service) })
+		c.reloadSettings(func(o *settings.Options) {
+			a.SetService(o.Relay.Service)
+			a.SetWarmUpLimit(o.Relay.WarmUpOvershoot, o.Relay.WarmUpTolerance)
+		})
 	}
 }
 
--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -32,6 +32,10 @@
 	OutboundAddress netip.AddrPort
 	BackendAddress  netip.AddrPort
 	Service         currantturn.ServiceName
+	// WarmUpOvershoot and WarmUpTolerance turn the rate of cold backend servers into
+	// their limit.
+	WarmUpOvershoot float64
+	WarmUpTolerance float64 // requests per second
 }
 
 func storeKeys() []Definition {
@@ -70,6 +74,10 @@
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Relay.BackendAddress }).required().onlyFor(agent),
 		key("service", "", "Service that the backend server belongs to.",
 			names[currantturn.ServiceName](), func(o *Options) *currantturn.ServiceName { return &o.Relay.Service }).required().onlyFor(agent),
+		key("warm_up_overshoot", "1", "Factor on the rate that the configuration gives for cold backend servers; with warm_up_tolerance it makes the limit on new flows in any second.",
+			rates("factor", 0, 1000), func(o *Options) *float64 { return &o.Relay.WarmUpOvershoot }).onlyFor(agent),
+		key("warm_up_tolerance", "0", "New flows per second that a cold backend server may get above its rate times warm_up_overshoot.",
+			rates("1/s", 0, 1e6), func(o *Options) *float64 { return &o.Relay.WarmUpTolerance }).onlyFor(agent),
 		key("fresh_start", "false", "Set to true only when the whole system starts for the first time: no flow can then be older than this process.",
 			booleans(), func(o *Options) *bool { return &o.Relay.FreshStart }),
 	)
