flowbalancer: presume that a backend server that is taken back is cold

A drained failure domain may be taken back before the registrations of its backend servers say that they are cold: they follow up to a heartbeat later. One that got no new flows by the plan before, and is of the same incarnation, counts as cold for one warm-up, and its agent is notified like that of one that has started. Not after placement was held back everywhere (an era begins): nothing was drained.

--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -81,6 +81,7 @@
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
 		if t.entry.Placeable() && !t.contested && !p.placementHeld {
 			p.placeable[t.entry.Service] = append(p.placeable[t.entry.Service], t)
+			t.markPlaceable(now, old)
 		}
 	}
 	p.addAnnounced(now, source.Announced, old)
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -25,6 +25,7 @@
 	// flows, but gets no new ones.
 	contested bool
 	warmUp    currantturn.WarmUp // of the service
+	placeable bool               // whether it may get new flows
 
 	mu                 sync.Mutex
 	load               relay.Load
--- a/internal/coordination/flowbalancer/warm_up.go
+++ b/internal/coordination/flowbalancer/warm_up.go
@@ -70,6 +70,22 @@
 	return all
 }
 
+// markPlaceable records that the target of a new plan may get new flows. One that got none by
+// the old plan may have become cold meanwhile, and its registration may say so later.
+func (t *target) markPlaceable(now time.Time, old *plan) {
+	t.placeable = true
+	if t.warmUp.Rate <= 0 || old == nil || old.provisional || old.placementHeld {
+		return
+	}
+	previous := old.byAgent[t.agent]
+	if previous == nil || previous.placeable || !previous.entry.SameIncarnation(&t.entry.Registration) {
+		return
+	}
+	if until := now.Add(t.warmUp.Duration); until.After(t.warmUpUntil) {
+		t.warmUpUntil = until
+	}
+}
+
 // declines reports whether the agent declines new flows at present because the backend
 // server is cold. That does not count as a failure.
 func (t *target) declines(now time.Time) bool {
--- a/internal/coordination/flowbalancer/warm_up_test.go
+++ b/internal/coordination/flowbalancer/warm_up_test.go
@@ -140,6 +140,41 @@
 		Expect(mostOpenings(b, cold)).To(And(BeNumerically("<=", limit), BeNumerically(">=", limit/2)))
 	})
 
+	// A backend server that gets no new flows for a while, as of a drained failure domain,
+	// may be cold afterwards, and its registration says so up to a heartbeat later.
+	It("stay within the limit when a backend server is taken back before it is known to be cold", func() {
+		sim := startWarm(209, 12)
+		load(sim, time.Second)
+		b := sim.backends["verify-01"]
+		sim.drain(b)
+		load(sim, time.Second)
+		b.openings = nil
+		b.registration.State = currantturn.BackendActive
+		sim.publish()
+		cold := sim.now.Add(duration)
+		load(sim, time.Second)
+		b.registration.WarmUpRemaining = cold.Sub(sim.now)
+		sim.publish()
+		load(sim, cold.Sub(sim.now))
+		Expect(mostOpenings(b, cold)).To(And(BeNumerically("<=", limit), BeNumerically(">=", limit/2)))
+	})
+
+	// After a return from a copy nothing was placed on any of them, which says nothing of
+	// their warmth.
+	It("are not limited after placement was held back everywhere", func() {
+		sim := startWarm(210, 12)
+		load(sim, time.Second)
+		sim.held = true
+		sim.publish()
+		sim.run(100 * time.Millisecond)
+		sim.held = false
+		sim.publish()
+		load(sim, time.Second)
+		refused, _ := ended(sim)
+		Expect(refused).To(BeZero())
+		Expect(sim.eventCounts[event.BackendCold]).To(BeZero())
+	})
+
 	It("stay within the limit when the agent restarts during the warm-up and loses its count", func() {
 		sim := startWarm(205, 12)
 		load(sim, time.Second)
