Read the operator's orders to drain failure domains, and publish them between balancers

No code read op/evacuate/ZONE. The orders are part of the published state: one range over the operator's keys returns them with the configuration, so that a complete reading costs the same two calls as before, and the watch has them already. Balancers pass them on like registrations: small changes in heartbeats, the rest in pulled states. Earlier processes reject messages with fields that they don't know, so changes go only to peers that know of orders, which show that by their own address among the peers.

Ruled out: an order kept apart from the state with a position of its own; a balancer would then need to compare two histories.

--- a/internal/coordination/statesync/era.go
+++ b/internal/coordination/statesync/era.go
@@ -76,6 +76,7 @@
 func (f *Feed) confirmAt(at time.Time) {
 	if at.Sub(f.confirmedAt) > f.opts.ApplyWithin/2 {
 		f.servers.Postpone(at.Add(lapseGrace))
+		f.drained.domains.Postpone(at.Add(lapseGrace))
 	}
 	f.confirmedAt = at
 }
@@ -124,8 +125,9 @@
 	next := f.state
 	f.setRouting(now, &next, s.Routing, out)
 	f.servers.Learn(now, s.Servers, now.Add(lapseGrace))
-	next.Servers = f.servers.Entries(now)
-	f.state, f.changed = next, nil
+	f.drained.domains.Learn(now, s.Drained, now.Add(lapseGrace))
+	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
+	f.state, f.changed, f.drained.changed = next, nil, nil
 }
 
 // fromEarlierEra reports whether a peer's position can't be compared with the own one: its
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -10,6 +10,7 @@
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/metric"
+	"github.com/currantturn/currantturn/internal/state/drained"
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/state/routehistory"
 )
@@ -45,6 +46,10 @@
 	// Unverified is true for a while after the store returned from a copy: Servers includes
 	// what was published before, and may contain what the store no longer has.
 	Unverified bool `cbor:"8,keyasint,omitempty"`
+	// Drained are the failure domains whose backend servers get no new flows; DrainedKnown is
+	// false from a process that does not know of them.
+	Drained      []drained.Entry `cbor:"9,keyasint,omitempty"`
+	DrainedKnown bool            `cbor:"10,keyasint,omitempty"`
 	// PlacementHeld is true while new flows have to wait and no flow may be reset, because
 	// the state may come from a copy of the store and nothing else is known yet.
 	PlacementHeld bool `cbor:"-"`
@@ -105,6 +110,7 @@
 	// after the first state, and after an outage of the store.
 	lapsedUntil      time.Time
 	era              eraState
+	drained          drainedState
 	startedAt        time.Time
 	greet            []netip.AddrPort // peers that get a heartbeat with the next tick, because they were silent before
 	failures         int              // consecutive failed reads
@@ -132,6 +138,7 @@
 	Unconfirmed uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
 	Peers       int    `json:"peers"`      // other balancers that are alive
 	Registered  int    `json:"registered"` // current registrations
+	Drained     int    `json:"drained"`    // failure domains whose backend servers get no new flows, by order of the operator
 	Announced   uint64 `json:"announced"`  // announcements of agents that receive nothing from balancers
 
 	Ages metric.Summary `json:"ages"` // age of configuration and registrations, at each heartbeat
@@ -148,7 +155,7 @@
 		c.Version = uint64(f.state.Routing.Version)
 		c.Unconfirmed = uint64(max(now.Sub(f.confirmedAt), 0).Milliseconds())
 	}
-	c.Peers = f.countAlive(now)
+	c.Peers, c.Drained = f.countAlive(now), len(f.state.Drained)
 	for i := range f.state.Servers {
 		if f.state.Servers[i].Gone.IsZero() {
 			c.Registered++
@@ -170,6 +177,7 @@
 		peers:         make(map[netip.AddrPort]peer),
 		announced:     make(map[netip.AddrPort]announcement),
 		ages:          metric.NewHistogram(),
+		drained:       drainedState{domains: drained.New()},
 	}
 	if opts.Fresh {
 		f.recordedSince = now.Add(-recordNeeded)
@@ -190,6 +198,7 @@
 	if f.servers.Lapsing() {
 		s.Servers = f.servers.Entries(now)
 	}
+	s.Drained, s.DrainedKnown = f.drained.domains.Entries(now), f.drained.known
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
 	s.Unverified, s.PlacementHeld = f.verifying(), f.placementHeld(now)
@@ -218,7 +227,7 @@
 		f.resumed = false
 		return Plan{Step: StepPause, Wait: heartbeatInterval / 3}
 	}
-	if f.mustList {
+	if f.mustList || f.mustListDrained(now) {
 		return Plan{Step: StepList}
 	}
 	wait := f.opts.ApplyWithin / 3
@@ -258,7 +267,7 @@
 	f.counts.Lists++
 	// With the lower revision, the watch repeats changes made between the two reads.
 	position := currantturn.Position{Era: servers.Era, Revision: min(routing.Revision, servers.Revision)}
-	f.mustList, f.resumed = false, true
+	f.mustList, f.resumed, f.drained.listedAt = false, true, now
 	if f.state.After(position) {
 		return // a newer state came from a peer; the watch continues from its revision
 	}
@@ -279,9 +288,10 @@
 			registrations = append(registrations, *item.Registration)
 		}
 	}
+	f.replaceDrained(now, routing)
 	f.replaceServers(now, registrations)
-	f.changed = nil
-	next.Servers = f.servers.Entries(now)
+	f.changed, f.drained.changed = nil, nil
+	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 	f.state = next
 	f.confirmAt(began)
 }
@@ -308,19 +318,23 @@
 	for _, item := range changes.Items {
 		f.applyItem(now, item, &next, out)
 	}
-	next.Servers = f.servers.Entries(now)
+	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 	f.keepChange(now, changes, &next)
 	f.state = next
 	f.confirmAt(now)
 }
 
-// keepChange keeps the registrations of a small change for the next heartbeats.
+// keepChange keeps the registrations and orders of a small change for the next heartbeats.
 func (f *Feed) keepChange(now time.Time, changes currantturn.Listing, next *State) {
-	f.changed, f.changedSince = nil, f.state.Revision
+	f.changed, f.changedSince, f.drained.changed = nil, f.state.Revision, nil
 	if next.Routing != f.state.Routing || len(changes.Items) > maxHeartbeatChanges {
 		return
 	}
 	for _, item := range changes.Items {
+		if item.Drain != nil {
+			f.drained.changed = append(f.drained.changed, *item.Drain)
+			continue
+		}
 		id := item.Removed
 		if item.Registration != nil {
 			id = item.Registration.ID
@@ -340,6 +354,8 @@
 		f.servers.Put(*item.Registration)
 		out.Event(event.RegistrationSeen, event.F("backend", item.Registration.ID),
 			event.F("state", item.Registration.State), event.F("era", next.Era), event.F("revision", next.Revision))
+	case item.Drain != nil:
+		f.drained.domains.Apply(*item.Drain)
 	default:
 		f.servers.Remove(now, item.Removed, f.trustedFrom)
 		out.Event(event.RegistrationGone, event.F("backend", item.Removed),
@@ -429,8 +445,9 @@
 	}
 	f.mustList = false
 	f.mergeRecord(now, &s)
+	f.adoptDrained(now, &s)
 	if !s.After(f.state.Position) {
-		f.state.Servers = f.servers.Entries(now)
+		f.state.Servers, f.state.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 		return
 	}
 	f.changed = nil
@@ -442,6 +459,6 @@
 	} else {
 		f.servers.Update(now, s.Servers)
 	}
-	next.Servers = f.servers.Entries(now)
+	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 	f.state = next
 }
--- a/internal/coordination/statesync/history_test.go
+++ b/internal/coordination/statesync/history_test.go
@@ -12,6 +12,7 @@
 	currantturn.Position
 	routing *currantturn.Routing
 	servers map[currantturn.BackendID]currantturn.Registration
+	drained map[currantturn.FailureDomain]bool
 	changes []change
 	oldest  uint64 // revision after which all changes are kept
 	away    bool   // reads and writes fail
@@ -27,6 +28,7 @@
 	return &history{
 		Position: currantturn.Position{Era: 1, Revision: 10},
 		servers:  map[currantturn.BackendID]currantturn.Registration{}, oldest: 10,
+		drained: map[currantturn.FailureDomain]bool{},
 	}
 }
 
@@ -63,10 +65,24 @@
 	}
 }
 
+// drain writes the order to drain a failure domain.
+func (h *history) drain(name currantturn.FailureDomain) {
+	h.drained[name] = true
+	h.append(currantturn.Item{Drain: &currantturn.DrainOrder{FailureDomain: name}})
+}
+
+// undrain takes the order back.
+func (h *history) undrain(name currantturn.FailureDomain) {
+	if h.drained[name] {
+		delete(h.drained, name)
+		h.append(currantturn.Item{Drain: &currantturn.DrainOrder{FailureDomain: name, Revoked: true}})
+	}
+}
+
 // copied returns a copy of the present content.
 func (h *history) copied() *history {
 	c := *h
-	c.servers, c.changes = maps.Clone(h.servers), slices.Clone(h.changes)
+	c.servers, c.changes, c.drained = maps.Clone(h.servers), slices.Clone(h.changes), maps.Clone(h.drained)
 	return &c
 }
 
@@ -87,6 +103,9 @@
 	if h.routing != nil {
 		l.Items = []currantturn.Item{{Routing: h.routing}}
 	}
+	for _, name := range slices.Sorted(maps.Keys(h.drained)) {
+		l.Items = append(l.Items, currantturn.Item{Drain: &currantturn.DrainOrder{FailureDomain: name}})
+	}
 	return l
 }
 
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -13,7 +13,10 @@
 	currantturn.Position
 	Version  currantturn.Version `cbor:"2,keyasint"` // of the routing, 0 without one
 	AgeMS    uint32              `cbor:"3,keyasint"` // time since the store confirmed that state
-	Peers    []netip.AddrPort    `cbor:"4,keyasint"` // link addresses of other balancers
+	// Peers are link addresses of other balancers, after the sender's own one, which shows
+	// that the sender knows of drained failure domains. Earlier processes accept no fields
+	// that they do not know.
+	Peers    []netip.AddrPort `cbor:"4,keyasint"`
 	Capacity float64             `cbor:"5,keyasint"` // of the sender's network link, Mbit/s
 	// Since and Changed carry a small change, so that the receiver need not pull
 	// the state: Changed holds the registrations that changed after the revision
@@ -25,6 +28,9 @@
 	Searches   bool   `cbor:"9,keyasint,omitempty"`  // whether the sender takes searches from other balancers
 	Announced  uint32 `cbor:"10,keyasint,omitempty"` // agents that announced themselves to the sender or its peers
 	Unverified bool   `cbor:"11,keyasint,omitempty"` // as in State
+	// Orders are the orders to drain failure domains, and their revocations, in the small
+	// change; only receivers that know of them get them.
+	Orders []currantturn.DrainOrder `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind returns the kind of the message on the wire.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -25,14 +25,16 @@
 	lastReceived time.Time // when its last heartbeat arrived
 	capacity     float64
 	searches     bool // whether it takes searches from other balancers
+	knowsDrained bool // whether it knows of drained failure domains
 }
 
 // isWatcher reports whether this balancer is one of the watchers, which are the
-// first of the balancers that are alive, in the order of precedes.
+// first of the balancers that are alive, in the order of precedes. Those that do not know
+// of drained failure domains do not count.
 func (f *Feed) isWatcher(now time.Time) bool {
 	preceding := 0
 	for addr, p := range f.peers {
-		if now.Sub(p.lastReceived) < peerTimeout && f.precedes(addr, p.capacity) {
+		if p.knowsDrained && now.Sub(p.lastReceived) < peerTimeout && f.precedes(addr, p.capacity) {
 			preceding++
 		}
 	}
@@ -59,7 +61,7 @@
 	if now.Sub(f.peers[from].lastReceived) >= peerTimeout && len(f.greet) < heartbeatFanout {
 		f.greet = append(f.greet, from)
 	}
-	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity, searches: h.Searches}
+	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity, searches: h.Searches, knowsDrained: h.knowsDrained(from)}
 	for _, p := range h.Peers {
 		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
 			f.peers[p] = peer{lastReceived: now.Add(-peerTimeout)} // gets heartbeats but is not alive yet
@@ -71,7 +73,11 @@
 	case h.Version == 0 || f.fromEarlierEra(h.Position) || f.state.After(h.Position):
 		return OutcomeNone // a recent confirmation of an older state confirms nothing here
 	case h.After(f.state.Position):
-		if h.Era != f.state.Era || h.Since != f.state.Revision || h.Version != f.state.RoutingVersion() || len(h.Changed) == 0 {
+		if f.avoids(now, h.knowsDrained(from)) {
+			return OutcomeNone
+		}
+		if h.Era != f.state.Era || h.Since != f.state.Revision || h.Version != f.state.RoutingVersion() ||
+			len(h.Changed)+len(h.Orders) == 0 || f.drained.known && !h.knowsDrained(from) {
 			return OutcomePull
 		}
 		f.applyChange(now, h)
@@ -79,7 +85,7 @@
 		return OutcomeChanged
 	}
 	f.confirm(now, h.AgeMS)
-	if f.needsRecord(now, h.RecordedMS) {
+	if f.needsRecord(now, h.RecordedMS) || f.lacksDrained(h.knowsDrained(from)) {
 		return OutcomePull
 	}
 	return OutcomeNone
@@ -90,8 +96,14 @@
 	for _, e := range h.Changed {
 		f.servers.Adopt(now, e)
 	}
-	f.state = State{Position: h.Position, Routing: f.state.Routing, Servers: f.servers.Entries(now)}
-	f.changed, f.changedSince = h.Changed, h.Since
+	for _, o := range h.Orders {
+		f.drained.domains.Apply(o)
+	}
+	f.state = State{
+		Position: h.Position, Routing: f.state.Routing,
+		Servers: f.servers.Entries(now), Drained: f.drained.domains.Entries(now),
+	}
+	f.changed, f.changedSince, f.drained.changed = h.Changed, h.Since, h.Orders
 }
 
 // confirm records that the store confirmed the state ageMS milliseconds ago,
@@ -111,6 +123,11 @@
 		f.state.Servers = f.servers.Entries(now)
 		changed = true
 	}
+	if f.drained.domains.Expire(now, f.confirmedAt) {
+		f.state.Drained = f.drained.domains.Entries(now)
+		changed = true
+	}
+	f.reportDrained(out)
 	changed = f.expireAnnounced(now) || changed
 	if !f.era.heldUntil.IsZero() && !f.placementHeld(now) {
 		f.era.heldUntil = time.Time{}
@@ -121,7 +138,7 @@
 		changed = changed || len(f.announced) > 0
 	}
 	for _, addr := range f.greet {
-		out.Send(addr, f.heartbeat(now, nil))
+		out.Send(addr, f.heartbeat(now, addr, []netip.AddrPort{f.opts.Self}))
 	}
 	f.greet = f.greet[:0]
 	if now.Sub(f.lastHeartbeat) >= heartbeatInterval {
@@ -194,18 +211,23 @@
 	}
 	slices.SortFunc(receivers, netip.AddrPort.Compare)
 	f.rng.Shuffle(len(receivers), func(i, j int) { receivers[i], receivers[j] = receivers[j], receivers[i] })
-	h := f.heartbeat(now, receivers[:min(len(receivers), maxHeartbeatPeers)])
+	peers := append([]netip.AddrPort{f.opts.Self}, receivers[:min(len(receivers), maxHeartbeatPeers)]...)
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
-		out.Send(addr, h)
+		out.Send(addr, f.heartbeat(now, addr, peers))
 	}
 }
 
-// heartbeat returns a heartbeat with the present state and the addresses of peers.
-func (f *Feed) heartbeat(now time.Time, peers []netip.AddrPort) Heartbeat {
-	return Heartbeat{
+// heartbeat returns the heartbeat for a receiver, with the present state and the own
+// address before those of peers.
+func (f *Feed) heartbeat(now time.Time, to netip.AddrPort, peers []netip.AddrPort) Heartbeat {
+	h := Heartbeat{
 		Position: f.state.Position, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
-		Peers: peers, Since: f.changedSince, Changed: f.changed,
+		Peers: peers, Since: f.changedSince, Changed: f.changed, Orders: f.drained.changed,
 		RecordedMS: f.recordedMS(now), Searches: true, Announced: uint32(len(f.announced)), Unverified: f.verifying(),
 		AgeMS: uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds()),
 	}
+	if !f.peers[to].knowsDrained {
+		return h.withoutOrders()
+	}
+	return h
 }
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -14,6 +14,8 @@
 	StoreLeftToOthers      = 809
 	AgentsAnnounced        = 810
 	StoreRestored          = 811
+	DomainDrained          = 812
+	DomainRestored         = 813
 )
 
 var stateSyncDefinitions = []Definition{
@@ -28,4 +30,6 @@
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
 	{StoreRestored, "store_restored", Warning, "store returned from a copy: its revisions are given out again, and what it says is compared with what was known", fields("era earlier revision age")},
 	{AgentsAnnounced, "agents_announced", Warning, "nothing is published yet; flows are searched for among agents that announced themselves, and new ones go only to agents that hold flows of their address", fields("agents")},
+	{DomainDrained, "domain_drained", Info, "operator drains a failure domain: its backend servers get no new flows; without backend servers the order has no effect", fields("domain servers era revision")},
+	{DomainRestored, "domain_restored", Info, "operator has taken a failure domain back: its backend servers get new flows again", fields("domain servers era revision")},
 }
--- a/store.go
+++ b/store.go
@@ -10,6 +10,14 @@
 	Routing      *Routing
 	Registration *Registration
 	Removed      BackendID // whose registration was deleted or is unusable
+	Drain        *DrainOrder
+}
+
+// DrainOrder is the operator's order that the backend servers of a failure domain get no
+// new flows, or its revocation.
+type DrainOrder struct {
+	FailureDomain FailureDomain `cbor:"1,keyasint"`
+	Revoked       bool          `cbor:"2,keyasint,omitempty"`
 }
 
 // Listing is the result of a read of the store.
@@ -22,8 +30,8 @@
 // ErrCompacted or ErrMalformed. A listing that comes with an error holds the era, if
 // the store's response has one, and nothing else.
 type Store interface {
-	// Configuration reads the published configuration; the listing is empty if
-	// there is none.
+	// Configuration reads the published configuration and the orders to drain failure
+	// domains; the listing is empty if there are none.
 	Configuration(ctx context.Context) (Listing, error)
 	// Registrations reads all registrations.
 	Registrations(ctx context.Context) (Listing, error)
