--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -39,6 +39,7 @@
 	compacted     bool                    // watches fail until the reader has listed everything
 	routes        []currantturn.FlowRoute // of the published routing
 	withoutEras   func(n int) bool        // whether balancer n is a process that does not know of eras
+	withoutDrains func(n int) bool        // whether balancer n is a process that does not know of drained failure domains
 	heartbeatLost func(from, to int) bool // whether heartbeats from one balancer to another are lost
 	events        map[int]int             // events by number
 }
@@ -145,6 +146,7 @@
 				h.Era, h.Unverified = 0, false
 				state.Era, state.Unverified = 0, false
 			}
+			f.forgetDrained(i, j, &h, &state)
 			if receiver.feed.HandleHeartbeat(f.now, b.addr, h) == statesync.OutcomePull {
 				receiver.feed.ApplyPulled(f.now, state, &out)
 				f.pulls++
@@ -179,7 +181,7 @@
 	f.calls++
 	b.readEnds = f.now.Add(readDelay)
 	if f.store != nil {
-		f.readHistory(b, plan, f.ignoresEras(i))
+		f.readHistory(i, plan, f.ignoresEras(i))
 		return
 	}
 	if f.readRefused != nil && f.readRefused(i) {
@@ -210,8 +212,15 @@
 }
 
 // readHistory starts a balancer's read of the store that keeps its changes.
-func (f *fleet) readHistory(b *balancer, plan statesync.Plan, withoutEras bool) {
-	if f.store.away {
+func (f *fleet) readHistory(i int, plan statesync.Plan, withoutEras bool) {
+	b := f.balancers[i]
+	read := func(l currantturn.Listing) currantturn.Listing {
+		if f.ignoresDrains(i) {
+			return withoutOrders(l)
+		}
+		return l
+	}
+	if f.store.away || f.readRefused != nil && f.readRefused(i) {
 		b.finishRead = func(out *currantturn.Effects) { b.feed.RecordFailure(f.now, 0, currantturn.ErrUnavailable, out) }
 		return
 	}
@@ -223,7 +232,7 @@
 			if withoutEras {
 				routing.Era, servers.Era = 0, 0
 			}
-			b.feed.ApplyListing(f.now, began, routing, servers, out)
+			b.feed.ApplyListing(f.now, began, read(routing), servers, out)
 		}
 		return
 	}
@@ -240,7 +249,7 @@
 		if err != nil {
 			b.feed.RecordFailure(f.now, l.Era, err, out)
 		} else {
-			b.feed.ApplyChanges(f.now, plan.After, l, out)
+			b.feed.ApplyChanges(f.now, plan.After, read(l), out)
 		}
 	}
 }
