flowbalancer, flowagent: no new flow goes to a drained failure domain

Balancers leave the backend servers of a drained failure domain out of what they place new flows on, with retries, copies and overflow; open flows and searches go on. If only drained ones serve a route, new flows are reset at once.

The agent is the last line where a balancer is late or cut off: two of the balancers that are alive, by the hash of the backend server, tell it each second what the published state says, with its position. It declines new flows with that reason, and the balancer either avoids the failure domain until it has the newer state, or corrects the agent. An older position never overrides a newer one, and what is not repeated holds for a minute.

Ruled out: a flag in the envelope, for which the frame has no room that earlier processes ignore, and which says nothing to an agent without traffic; notices of each balancer to each agent (850 x 3,200 messages); an avoidance of the declining backend server alone, since all others of its failure domain would be tried.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -62,11 +62,12 @@
 	// each balancer.
 	denials map[netip.AddrPort]relay.Flows
 	backlog backlog.Backlog
+	drain   drainNotice
 }
 
 // counts are the running totals that Counters returns.
 type counts struct {
-	delivered, bounced, returned, declined, forgotten, answers, foreign, full, waited, gaveUp atomic.Uint64
+	delivered, bounced, returned, declined, drained, forgotten, answers, foreign, full, waited, gaveUp atomic.Uint64
 }
 
 // Counters are an agent's totals since its start.
@@ -76,6 +77,7 @@
 	Bounced   uint64 `json:"bounced"`   // packets rejected by the backend server
 	Returned  uint64 `json:"returned"`  // packets returned to their balancer because the flow is not held here
 	Declined  uint64 `json:"declined"`  // new flows declined and returned to their balancer
+	Drained   uint64 `json:"drained"`   // those of them that were declined because the failure domain is drained
 	Forgotten uint64 `json:"forgotten"` // open flows that the backend server no longer held
 	Foreign   uint64 `json:"foreign"`   // packets for another service
 	Full      uint64 `json:"full"`      // packets of flows without a record for which the flow table had no room
@@ -124,7 +126,7 @@
 	c := &a.counts
 	return Counters{
 		Delivered: c.delivered.Load(), Answers: c.answers.Load(), Bounced: c.bounced.Load(),
-		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
+		Returned: c.returned.Load(), Declined: c.declined.Load(), Drained: c.drained.Load(), Forgotten: c.forgotten.Load(),
 		Foreign: c.foreign.Load(), Full: c.full.Load(),
 		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(),
 		Flows: a.flows.Len(), Running: a.tracker.inProgress(),
@@ -159,7 +161,7 @@
 	a.untrackedAt.Store(&now)
 }
 
-// Handle replies to a balancer's probe or query.
+// Handle processes a balancer's notice, and replies to its probe or query.
 func (a *Agent) Handle(now time.Time, from netip.AddrPort, m currantturn.Message, out *currantturn.Effects) {
 	switch m := m.(type) {
 	case relay.Probe:
@@ -169,6 +171,8 @@
 		a.recordBalancer(now, from)
 		a.updatePosition(m.Position())
 		out.Send(from, a.answerQuery(now, m.Flows))
+	case relay.Drained:
+		a.handleDrained(now, m, out)
 	}
 }
 
@@ -255,6 +259,7 @@
 		a.removeFromLoad(flow, r)
 		return false
 	})
+	a.expireDrained(now, out)
 	a.releaseRequests(now, out)
 	a.sendDenials(out)
 	a.sendReports(now, out)
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -50,6 +50,10 @@
 	// which doubles.
 	minAnnounceInterval = 200 * time.Millisecond
 	maxAnnounceInterval = 10 * time.Second
+	// drainLifetime is how long a balancer's notice holds that the failure domain is drained,
+	// unless it is repeated: no balancer may be left that would take it back. Balancers
+	// repeat it each second, and all of them may be restarting.
+	drainLifetime = time.Minute
 	// serviceTimeWeight is the weight of a new sample in the moving average of
 	// service times.
 	serviceTimeWeight = 0.05
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -72,8 +72,8 @@
 }
 
 // handleOpening processes an opening packet: a repeated one is delivered to its
-// flow, any other starts a new flow unless the backend server is unresponsive or there
-// is no room for its record.
+// flow, any other starts a new flow unless the failure domain is drained, the backend server
+// is unresponsive or there is no room for its record.
 func (a *Agent) handleOpening(in *inboundPacket, r *flowRecord, room bool) *flowRecord {
 	switch {
 	case !room:
@@ -82,10 +82,14 @@
 		return nil
 	case in.intent == currantturn.IntentSearch:
 		return r
+	case r != nil && r.progress == opening && a.declinesDrained(in):
+		return r
 	case r != nil && r.progress != closed && r.progress != unconfirmed:
 		r.lastSeen = in.now
 		a.deliver(in)
 		return r
+	case a.declinesDrained(in):
+		return r
 	case !a.mayDeliverOpening(in.now):
 		a.refuse(in)
 		return r
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -19,6 +19,7 @@
 type Options struct {
 	Codec  currantturn.PacketCodec
 	Domain currantturn.FailureDomain
+	Self   netip.AddrPort // link address
 	// AgentPort is the port of every agent's link address.
 	AgentPort uint16
 	Seed      uint64 // of the random number generator
@@ -62,6 +63,7 @@
 	deferred    []currantturn.FlowKey
 	sweepNumber int // number of the last sweep of the flow table
 	lastProbe   time.Time
+	drains      drains
 	counts      counts
 }
 
@@ -99,6 +101,7 @@
 
 		queries:        make(map[netip.AddrPort]relay.Flows),
 		learnedHolders: make(map[netip.AddrPort][]*target),
+		drains:         newDrains(),
 	}
 }
 
@@ -113,10 +116,11 @@
 	}
 }
 
-// Ready reports whether the configuration in force has placeable backend servers.
+// Ready reports whether the configuration in force has backend servers. Without any but in
+// drained failure domains, open flows go on and new ones are refused at once.
 func (b *Balancer) Ready() bool {
 	p := b.plan.Load()
-	return p != nil && len(p.placeable) > 0 // none in a provisional plan
+	return p != nil && p.complete() // not a provisional plan
 }
 
 // Isolated reports whether no agent has answered this balancer's probes for
@@ -176,6 +180,7 @@
 	}
 	p := newPlan(now, &s, b.opts.AgentPort, old)
 	b.plan.Store(p)
+	b.drains.update(now, old, p)
 	b.updateLearned(p)
 	deferred := b.deferred
 	b.deferred = nil
@@ -183,7 +188,7 @@
 	if p.provisional && (old == nil || !old.provisional) {
 		out.Event(event.AgentsAnnounced, event.F("agents", len(p.targets)))
 	}
-	if !p.provisional && !p.placementHeld && len(p.placeable) == 0 {
+	if !p.provisional && !p.placementHeld && !p.complete() {
 		return
 	}
 	for _, key := range deferred {
@@ -215,6 +220,8 @@
 		b.handleAbsent(now, m.Flow.Key(), t, m.Position(), out)
 	case relay.QueryReply:
 		b.handleQueryReply(now, m, t, out)
+	case relay.Drained:
+		b.handleDrained(now, p, t, m, out)
 	}
 }
 
@@ -276,5 +283,6 @@
 	b.sendQueries(now, out)
 	b.probe(now, out)
 	b.probeEnded(now, out)
+	b.sendDrainNotices(now, out)
 	b.flows.Sweep(number, func(_ currantturn.FlowKey, e *entry) bool { return !e.expired(now) })
 }
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -53,7 +53,7 @@
 		var candidates []placement.Candidate
 		for _, t := range group {
 			c := t.candidate(now, b.opts.Domain)
-			if slices.Contains(tried, t.entry.ID) || c.Avoid && len(group) < len(placeable) {
+			if slices.Contains(tried, t.entry.ID) || b.drains.learned(now, t.entry.FailureDomain) || c.Avoid && len(group) < len(placeable) {
 				continue
 			}
 			targets = append(targets, t)
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -94,6 +94,20 @@
 	// maxBufferTime is how long an opening packet waits for a usable configuration before
 	// the flow is refused: less than callers wait for an answer.
 	maxBufferTime = time.Second
+	// noticeInterval is the interval of notices to the agents of drained failure domains, one
+	// of which may be lost or sent to an agent that has just restarted.
+	noticeInterval = time.Second
+	// noticeSpan is how long notices go on after a failure domain was taken back.
+	noticeSpan = 5 * time.Second
+	// noticeSenders is how many of the balancers that are alive send notices to one agent; the
+	// second one covers the loss of the first.
+	noticeSenders = 2
+	// maxNotices limits the notices of an interval, at some 60 bytes each: 4 KB/s. The others
+	// follow in the next intervals.
+	maxNotices = 64
+	// learnedDrainLifetime is how long new flows avoid a failure domain because of an agent
+	// that declined one: this balancer receives the newer state long before.
+	learnedDrainLifetime = 3 * time.Second
 	// maxLearnedAddresses limits the service addresses of learnedHolders.
 	maxLearnedAddresses = 4096
 )
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -20,6 +20,8 @@
 	// placementHeld is true while new flows have to wait and no flow is reset, because the
 	// state may come from a copy of the store and nothing else is known yet.
 	placementHeld bool
+	drained       map[currantturn.FailureDomain]bool // whose backend servers get no new flows
+	withheld      int                                // backend servers that are not in placeable for that reason
 	// recordedSince is the time since which no removal of a registration, or of a
 	// service from a route, is missing from targets and earlierServices.
 	recordedSince   time.Time
@@ -42,6 +44,7 @@
 		position:        source.Position,
 		provisional:     source.Routing == nil,
 		placementHeld:   source.PlacementHeld,
+		drained:         drainedDomains(source),
 		recordedSince:   now.Add(-source.Recorded()),
 		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute),
 		earlierServices: make(map[netip.AddrPort][]currantturn.ServiceName),
@@ -77,7 +80,11 @@
 		}
 		p.targets = append(p.targets, t)
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
-		if t.entry.Placeable() && !t.contested && !p.placementHeld {
+		switch {
+		case !t.entry.Placeable() || t.contested || p.placementHeld:
+		case p.drained[t.entry.FailureDomain]:
+			p.withheld++
+		default:
 			p.placeable[t.entry.Service] = append(p.placeable[t.entry.Service], t)
 		}
 	}
@@ -129,10 +136,16 @@
 	case p.placementHeld:
 		return packet.Mark == currantturn.MarkOpening || p.routes[packet.Flow.Service] == nil
 	default:
-		return len(p.placeable) == 0
+		return !p.complete()
 	}
 }
 
+// complete reports whether the published state has backend servers for new flows, or has
+// them but for drained failure domains.
+func (p *plan) complete() bool {
+	return len(p.placeable)+p.withheld > 0
+}
+
 // supersedes reports whether registration a is used instead of b, which has the same
 // address. One that still exists is preferred to a removed one. Of two removed ones
 // the one removed later is used; of two others the one whose backend server started
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -52,6 +52,10 @@
 				b.place(now, p, route, packet, e, out)
 				return b.dropIfUndecided(e)
 			}
+			if b.holderDrained(now, p, e) {
+				b.placeCopy(now, p, route, packet, e, out)
+				return e
+			}
 		}
 		if e.holder != nil || !mayDelegate || !b.delegate(packet, e, out) {
 			b.forwardToHolder(now, p, route, packet, e, out)
@@ -122,13 +126,20 @@
 		b.resetAndForget(now, packet, e, "no backend server takes new flows", out)
 		return
 	}
+	b.placeOn(now, p, route, packet, e, t, out)
+}
+
+// placeOn sends an opening packet to a backend server that has not had it yet.
+func (b *Balancer) placeOn(
+	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, t *target, out *currantturn.Effects,
+) {
 	if len(e.tried) == 0 {
 		b.counts.placed.Add(1)
 	} else {
 		b.counts.replaced.Add(1)
 	}
 	t.countSentFlow()
-	e.progress, e.holder, e.acceptDue = placing, t, now.Add(acceptTimeout<<len(e.tried))
+	e.progress, e.holder, e.acceptDue = placing, t, now.Add(acceptTimeout<<min(len(e.tried), maxAttempts))
 	e.openingPacket = bytes.Clone(packet.Payload)
 	e.tried = append(e.tried, t.entry.ID)
 	out.Event(event.FlowPlaced, event.F("flow", packet.Flow), event.F("service", t.entry.Service),
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -48,15 +48,31 @@
 		return highestRanked(p.targets, flow, likelyHolderCount)
 	}
 	if len(route.Shares) == 1 {
-		return highestRanked(p.byService[route.Shares[0].Service], flow, likelyHolderCount)
+		return p.likelyHoldersOf(route.Shares[0].Service, flow)
 	}
 	var all []*target
 	for _, s := range route.Shares {
-		all = append(all, highestRanked(p.byService[s.Service], flow, likelyHolderCount)...)
+		all = append(all, p.likelyHoldersOf(s.Service, flow)...)
 	}
 	return all
 }
 
+// likelyHoldersOf returns the targets of a service that probably hold a flow. While failure
+// domains are drained, new flows go to targets that may rank lower.
+func (p *plan) likelyHoldersOf(service currantturn.ServiceName, flow currantturn.FlowKey) []*target {
+	likely := highestRanked(p.byService[service], flow, likelyHolderCount)
+	if p.withheld == 0 {
+		return likely
+	}
+	likely = slices.Clone(likely)
+	for _, t := range highestRanked(p.placeable[service], flow, placementCandidates) {
+		if !slices.Contains(likely, t) {
+			likely = append(likely, t)
+		}
+	}
+	return likely
+}
+
 // search looks for the holder of a flow. The likely holders receive the packet itself.
 // The other agents are queried when all of those are ruled out, when widenDelay has
 // passed, or when another packet of the flow arrives.
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -15,6 +15,7 @@
 	"github.com/currantturn/currantturn/internal/coordination/flowbalancer"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
+	"github.com/currantturn/currantturn/internal/state/drained"
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/state/routehistory"
 	"github.com/currantturn/currantturn/platform"
@@ -76,6 +77,7 @@
 	noOverflow bool                           // balancers keep new flows on the service drawn by weight
 	held       bool                           // the state may come from a copy of the store, and nothing else is known
 	unverified bool                           // the state may contain registrations that the store no longer has
+	drained    []drained.Entry                // failure domains whose backend servers get no new flows
 	storeDown  bool                           // nothing is published, so that balancers only learn of announced agents
 	announced  []statesync.Announced          // agents that announced themselves to any balancer
 	drop       func(from, to netip.Addr) bool // whether a packet between VMs is dropped; nil drops none
@@ -90,8 +92,10 @@
 type balancerVM struct {
 	address    netip.AddrPort
 	down       bool
-	linkRate   float64   // bytes per second; 0 means unlimited
-	linkIdleAt time.Time // when the link will have sent all queued frames
+	late       bool                      // gets no newly published states
+	domain     currantturn.FailureDomain // "" for none
+	linkRate   float64                   // bytes per second; 0 means unlimited
+	linkIdleAt time.Time                 // when the link will have sent all queued frames
 	balancer   *flowbalancer.Balancer
 }
 
@@ -107,6 +111,7 @@
 	queue        []func()
 	busySlots    int
 	requestsRun  int // requests completed
+	openings     int // opening packets received
 	crashes      int // how often it has lost its memory
 }
 
@@ -152,6 +157,7 @@
 func (sim *simulation) tick() {
 	for _, b := range sim.balancers {
 		if !b.down {
+			b.balancer.SetBalancers(sim.seeds())
 			sim.apply(b.address.Addr(), nil, b.balancer.Tick)
 		}
 	}
@@ -184,7 +190,7 @@
 
 func (sim *simulation) restartBalancer(b *balancerVM) {
 	b.down = false
-	b.balancer = flowbalancer.New(flowbalancer.Options{Codec: sim.codec, AgentPort: linkPort, Seed: sim.rng.Uint64(), LinkRate: b.linkRate, NoOverflow: sim.noOverflow})
+	b.balancer = flowbalancer.New(flowbalancer.Options{Codec: sim.codec, AgentPort: linkPort, Seed: sim.rng.Uint64(), LinkRate: b.linkRate, NoOverflow: sim.noOverflow, Self: b.address, Domain: b.domain})
 	sim.publishTo(b)
 }
 
@@ -230,7 +236,13 @@
 	if slices.ContainsFunc(sim.announced, func(a statesync.Announced) bool { return a.Agent == agent }) {
 		return
 	}
-	sim.announced = append(sim.announced, statesync.Announced{Agent: agent, Service: m.Service})
+	announced := statesync.Announced{Agent: agent, Service: m.Service}
+	for _, b := range sim.backends {
+		if b.address == agent {
+			announced.FailureDomain = b.registration.FailureDomain
+		}
+	}
+	sim.announced = append(sim.announced, announced)
 	for _, b := range sim.balancers {
 		sim.publishTo(b)
 	}
@@ -269,7 +281,7 @@
 func (sim *simulation) publish() {
 	sim.revision++
 	for _, b := range sim.balancers {
-		if !b.down {
+		if !b.down && !b.late {
 			sim.publishTo(b)
 		}
 	}
@@ -282,7 +294,7 @@
 		return
 	}
 	s := statesync.State{
-		PlacementHeld: sim.held, Unverified: sim.unverified, Position: currantturn.Position{Revision: sim.revision}, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier,
+		PlacementHeld: sim.held, Unverified: sim.unverified, Position: currantturn.Position{Revision: sim.revision}, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier, Drained: sim.drained,
 	}
 	for _, id := range sim.backendIDs() {
 		backend := sim.backends[id]
@@ -431,6 +443,9 @@
 	if err := sim.codec.Decode(packet, currantturn.ToBackend, &p); err != nil {
 		panic(err)
 	}
+	if p.Mark == currantturn.MarkOpening {
+		b.openings++
+	}
 	if b.unresponsive {
 		return
 	}
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -118,6 +118,16 @@
 	t.avoidUntil = now.Add(avoidPeriod)
 }
 
+// endAvoidance lets new flows go to the backend server again, unless its agent reports that
+// it does not answer.
+func (t *target) endAvoidance() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.load.Unresponsive {
+		t.avoidUntil = time.Time{}
+	}
+}
+
 // candidate returns the target in the form in which placement compares it.
 func (t *target) candidate(now time.Time, local currantturn.FailureDomain) placement.Candidate {
 	t.mu.Lock()
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -180,6 +180,19 @@
 	return all
 }
 
+// Alive returns the other balancers whose last heartbeat is recent and which know of
+// drained failure domains.
+func (f *Feed) Alive(now time.Time) (all []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for addr, p := range f.peers {
+		if p.knowsDrained && now.Sub(p.lastReceived) < peerTimeout {
+			all = append(all, addr)
+		}
+	}
+	return all
+}
+
 // countAlive counts the peers whose last heartbeat is recent.
 func (f *Feed) countAlive(now time.Time) (n int) {
 	for _, p := range f.peers {
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -63,7 +63,7 @@
 	}
 	b := &FlowBalancer{
 		Balancer: flowbalancer.New(flowbalancer.Options{
-			Codec: opts.Codec, Domain: opts.FailureDomain, AgentPort: opts.Link.Port(), Seed: opts.Seed,
+			Codec: opts.Codec, Domain: opts.FailureDomain, Self: opts.Link, AgentPort: opts.Link.Port(), Seed: opts.Seed,
 			LinkRate: opts.LinkCapacity * bytesPerMegabit, NoOverflow: !opts.Overflow,
 		}),
 		opts:    opts,
@@ -168,6 +168,9 @@
 		b.lastPublish = now
 		b.Publish(now, b.feed.State(now), out)
 	}
+	if b.DrainNoticesDue(now) {
+		b.SetBalancers(b.feed.Alive(now))
+	}
 	b.Tick(now, out)
 }
 
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -22,6 +22,8 @@
 	AgentSilent      = 838
 	AgentHeard       = 839
 	FlowOverflowed   = 840
+	BackendDrained   = 841
+	BackendRestored  = 842
 )
 
 var opaqueFlowDefinitions = []Definition{
@@ -37,6 +39,8 @@
 	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do, and its registration is gone; it is treated as holding no flows", fields("backend peer unanswered registered")},
 	{AgentHeard, "agent_heard", Info, "agent answers again", fields("backend peer")},
 	{FlowOverflowed, "flow_overflowed", Info, "new flow goes to another service of its route: the drawn one has no backend server for it, or only overloaded ones", fields("flow drawn service")},
+	{BackendDrained, "backend_drained", Info, "balancer says that the failure domain is drained: the agent declines new flows", fields("backend domain era revision")},
+	{BackendRestored, "backend_restored", Info, "failure domain is taken back, or no balancer repeats that it is drained: the agent accepts new flows again", fields("backend domain era revision")},
 	{FlowForeign, "flow_foreign", Warning, "packet for another service was returned to its balancer", fields("flow service")},
 	{RequestGivenUp, "request_given_up", Info, "caller abandoned a request that waited for a slot; the request did not run", fields("flow backend waited")},
 	{PacketUnreadable, "packet_unreadable", Warning, "datagram cannot be decoded", fields("peer error")},
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -118,6 +118,23 @@
 // Kind returns the name of the message kind on the wire.
 func (Report) Kind() currantturn.Kind { return "report" }
 
+// Drained says whether the failure domain of an agent is drained, so that its backend
+// server gets no new flows: a balancer's notice to the agent, or the agent's reason why it
+// declined a new flow.
+type Drained struct {
+	Drained  bool   `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"` // of the published state that says so
+	Era      uint64 `cbor:"20,keyasint,omitempty"`
+}
+
+// Position returns the position of the published state that says so.
+func (d *Drained) Position() currantturn.Position {
+	return currantturn.Position{Era: d.Era, Revision: d.Revision}
+}
+
+// Kind returns the name of the message kind on the wire.
+func (Drained) Kind() currantturn.Kind { return "drained" }
+
 // Announce notifies a balancer of an agent that receives nothing from any balancer. A
 // balancer that has no published state finds the agent's flows by it.
 type Announce struct {
@@ -143,4 +160,5 @@
 	message.Register[Report]()
 	message.Register[Probe]()
 	message.Register[Announce]()
+	message.Register[Drained]()
 }
