Settings: drain_within bounds the age of what is read, with apply_within

A deployment may want a failure domain drained sooner than a configuration in force. The shorter one bounds the age after which a balancer reads the store.

--- a/internal/process/flow.go
+++ b/internal/process/flow.go
@@ -97,7 +97,7 @@
 	b, err := core.StartFlowBalancer(core.FlowBalancerOptions{
 		Codec: platform.Packets{}, Store: store, FailureDomain: o.Process.FailureDomain,
 		Link: o.Relay.LinkAddress, Callers: o.Relay.CallerAddress, State: o.Relay.StateAddress,
-		Seeds: o.Relay.Seeds, ApplyWithin: o.Store.ApplyWithin, Seed: seed,
+		Seeds: o.Relay.Seeds, ApplyWithin: min(o.Store.ApplyWithin, o.Store.DrainWithin), Seed: seed,
 		LinkCapacity: o.Relay.LinkCapacity, FreshStart: o.Relay.FreshStart, Overflow: o.Relay.Overflow,
 		Pull: published.Read, Clock: time.Now, Report: c.report,
 	})
--- a/internal/settings/relay_keys.go
+++ b/internal/settings/relay_keys.go
@@ -11,6 +11,7 @@
 type Store struct {
 	Address     netip.AddrPort
 	ApplyWithin time.Duration
+	DrainWithin time.Duration
 }
 
 // Relay holds the addresses of a process for opaque flows, and the settings that
@@ -41,6 +42,8 @@
 			addresses(), func(o *Options) *netip.AddrPort { return &o.Store.Address }).required(),
 		key("apply_within", "3s", "Time within which a published configuration must be in force.",
 			durations(500*time.Millisecond, time.Minute), func(o *Options) *time.Duration { return &o.Store.ApplyWithin }),
+		key("drain_within", "1m", "Time within which the backend servers of a drained failure domain must get no new flows; the shorter one of this and apply_within bounds the age of what is read.",
+			durations(500*time.Millisecond, time.Minute), func(o *Options) *time.Duration { return &o.Store.DrainWithin }),
 	)
 }
 
