flowagent: the spec of a drained agent's copies expects them back as unanswered

It expected them declined, from which the balancer concludes that the backend server does not hold the flow; that is not known while the earlier copy is unanswered. The spec checks as before that the copy is not delivered and goes back.

--- a/internal/coordination/flowagent/drain_test.go
+++ b/internal/coordination/flowagent/drain_test.go
@@ -57,13 +57,13 @@
 	})
 
 	// The backend server has not answered, and the caller sends a copy.
-	It("declines a copy of an opening packet that the backend server has not answered", func() {
+	It("returns a copy of an opening packet that the backend server has not answered, which may still come", func() {
 		t := newTestAgent(true)
 		Expect(t.accepts(1)).To(BeTrue())
 		t.tick(50 * time.Millisecond) // returned, since it is not answered
 		t.notice(true, 0, 40)
 		Expect(t.accepts(1)).To(BeFalse())
-		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentDeclined}))
+		Expect(t.returned()).To(Equal([]currantturn.Intent{currantturn.IntentUnanswered}))
 	})
 
 	DescribeTable("follows the notice with the newest position", func(era, revision uint64, taken bool) {
