statesync: the model of eras plays backend servers that start again under their ID

Restarts of running, draining, crashed and gone backend servers beside copies, outages, compactions and restarts of balancers.

--- a/internal/coordination/statesync/era_model_test.go
+++ b/internal/coordination/statesync/era_model_test.go
@@ -42,12 +42,17 @@
 	returnsAt time.Time // when a store that is away returns; zero if it is not away
 	restoreTo *history  // what it returns from; nil for its own content
 	version   currantturn.Version
+	// born is when each backend server's newest incarnation in force started, by balancer.
+	born      []map[currantturn.BackendID]time.Time
 	rewriteAt time.Time // when the operator writes the configuration again
 	next      int
 }
 
 func newModel(balancers int) *model {
 	m := &model{fleet: newFleet(balancers), servers: map[currantturn.BackendID]*modelServer{}}
+	for range balancers {
+		m.born = append(m.born, map[currantturn.BackendID]time.Time{})
+	}
 	m.store = newHistory()
 	m.version = 7
 	m.store.configure(m.version)
@@ -75,10 +80,19 @@
 func (m *model) add() {
 	m.next++
 	s := &modelServer{registration: registration(currantturn.BackendID(fmt.Sprintf("s%03d", m.next)), 0), running: true}
+	s.registration.StartedAt = m.now
 	m.servers[s.registration.ID] = s
 	m.write(s)
 }
 
+// reborn starts a backend server again under its ID, whether it runs or not. It knows nothing
+// of before, and its sequence begins anew.
+func (m *model) reborn(s *modelServer) {
+	s.registration.State, s.registration.StartedAt, s.registration.Sequence = currantturn.BackendActive, m.now, 0
+	s.running, s.leftAt, s.readable = true, time.Time{}, 0
+	m.write(s)
+}
+
 // pick returns a running backend server that is or is not draining, or nil.
 func (m *model) pick(t *rapid.T, draining bool) *modelServer {
 	var ids []currantturn.BackendID
@@ -115,9 +129,26 @@
 			}
 		}
 		m.versions()
+		m.incarnations()
 	}
 }
 
+// incarnations expects no balancer to return to an earlier incarnation.
+func (m *model) incarnations() {
+	for i := range m.balancers {
+		for _, e := range m.balancers[i].feed.State(m.now).Servers {
+			Expect(e.StartedAt).NotTo(BeTemporally("<", m.born[i][e.ID]), "incarnation of %s at balancer %d", e.ID, i)
+			m.born[i][e.ID] = e.StartedAt
+		}
+	}
+}
+
+// restart restarts a balancer, which then knows nothing.
+func (m *model) restart(i int) {
+	m.fleet.restart(i)
+	clear(m.born[i])
+}
+
 // stepStore lets the store return, registrations lapse and writers write.
 func (m *model) stepStore() {
 	if m.store.away && !m.now.Before(m.returnsAt) {
@@ -179,6 +210,11 @@
 		s := m.balancers[i].feed.State(m.now)
 		Expect(s.RoutingVersion()).To(Equal(m.version), "balancer %d", i)
 		Expect(m.placeable(i)).To(Equal(want), "balancer %d", i)
+		for _, e := range s.Servers {
+			if r, found := m.store.servers[e.ID]; found {
+				Expect(e.StartedAt).To(BeTemporally("==", r.StartedAt), "incarnation of %s at balancer %d", e.ID, i)
+			}
+		}
 	}
 }
 
@@ -197,7 +233,7 @@
 	m := newModel(rapid.IntRange(2, 6).Draw(t, "balancers"))
 	restarted := time.Time{}
 	for range rapid.IntRange(5, 20).Draw(t, "operations") {
-		switch rapid.SampledFrom([]string{"add", "drain", "crash", "configure", "restore", "away", "compact", "restart", "pause"}).Draw(t, "operation") {
+		switch rapid.SampledFrom([]string{"add", "drain", "crash", "reborn", "configure", "restore", "away", "compact", "restart", "pause"}).Draw(t, "operation") {
 		case "add":
 			m.add()
 		case "drain":
@@ -209,6 +245,8 @@
 			if s := m.pick(t, false); s != nil && len(m.servers) > 2 {
 				s.running = false
 			}
+		case "reborn":
+			m.reborn(m.servers[rapid.SampledFrom(slices.Sorted(maps.Keys(m.servers))).Draw(t, "server")])
 		case "configure":
 			if !m.store.away {
 				m.version += 3
