flowagent: a planned stop hands every request to the backend server

Requests that it held back for a slot were lost with it, and flows opened a moment before had to wait for the next process.

On a planned stop the agent now declines new flows, which go elsewhere, waits up to a second for the requests that it has, and then delivers those that still wait: the backend server runs, queues or truthfully refuses them.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -50,6 +50,13 @@
 	return true
 }
 
+// RemoveAll removes and returns all requests in order of arrival.
+func (b *Backlog) RemoveAll() []Request {
+	all := b.waiting
+	b.waiting = nil
+	return all
+}
+
 // Remove removes the waiting request of a flow, if there is one.
 func (b *Backlog) Remove(flow currantturn.FlowKey) {
 	for i := range b.waiting {
--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -46,6 +46,7 @@
 	openTimes    *metric.Histogram // from an opening packet to its answer
 	serviceTimes *metric.Histogram // from a request's delivery to the first data of its answer
 	counts       counts
+	stopping     atomic.Bool
 	untrackedAt  atomic.Pointer[time.Time] // when there was last no room for a flow's record; nil if never
 
 	mu                 sync.Mutex                         // guards the fields below
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -86,7 +86,7 @@
 		r.lastSeen = in.now
 		a.deliver(in)
 		return r
-	case !a.mayDeliverOpening(in.now):
+	case a.stopping.Load() || !a.mayDeliverOpening(in.now):
 		a.refuse(in)
 		return r
 	}
--- a/internal/core/flow_agent.go
+++ b/internal/core/flow_agent.go
@@ -100,12 +100,28 @@
 	}
 }
 
+// Stop declines new flows and waits up to stopDelay for the requests in progress. It then
+// delivers those that wait to the backend server and closes the agent.
+func (a *FlowAgent) Stop(ctx context.Context) error {
+	a.MarkStopping()
+	for waited := time.Duration(0); waited < stopDelay && !a.Finished() && ctx.Err() == nil; waited += stopCheckInterval {
+		pause.For(ctx, stopCheckInterval)
+	}
+	a.node.decide(a.ReleaseAll)
+	return a.Close()
+}
+
 const (
 	// announceCheckInterval is how often an agent checks whether to announce itself.
 	announceCheckInterval = 100 * time.Millisecond
 	// backendDialTimeout limits the time to open a connection to the backend server on
 	// the own VM.
 	backendDialTimeout = 100 * time.Millisecond
+	// stopDelay is how long a planned stop waits for requests in progress: longer than
+	// most take, and a fraction of the time in which a process has to stop.
+	stopDelay = time.Second
+	// stopCheckInterval is how often a planned stop checks whether they have ended.
+	stopCheckInterval = 10 * time.Millisecond
 )
 
 // Close stops the agent at once.
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -78,6 +78,7 @@
 		service                 = netip.MustParseAddrPort("198.18.0.1:443")
 		caller                  netip.AddrPort
 		store                   *flowStore
+		agent                   *core.FlowAgent
 		backend, client         *net.UDPConn
 		report                  = func(currantturn.Event) {}
 	)
@@ -125,13 +126,14 @@
 				ID: "i-1", Service: "verify", Address: at("127.0.3.1", 8080), Slots: 2, State: currantturn.BackendActive,
 			},
 		}
-		a, err := core.StartFlowAgent(core.FlowAgentOptions{
+		var err error
+		agent, err = core.StartFlowAgent(core.FlowAgentOptions{
 			Name: "i-1", Codec: platform.Packets{}, Service: "verify", Link: at("127.0.3.1", link),
 			Outbound: at("127.0.3.1", outbound), Backend: backend.LocalAddr().(*net.UDPAddr).AddrPort(),
 			CallerPort: callers, FreshStart: true, Clock: time.Now, Report: report,
 		})
 		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(a.Close)
+		DeferCleanup(func() { _ = agent.Close() })
 	})
 
 	waitUntilServing := func(b *core.FlowBalancer) {
@@ -189,6 +191,30 @@
 		Expect(receive(backend).Mark).To(Equal(currantturn.MarkOpening))
 	})
 
+	It("hand every request to the backend server before the agent stops", func(ctx SpecContext) {
+		store.registration.Slots = 1
+		waitUntilServing(startBalancer("127.0.1.1"))
+		callers := []netip.AddrPort{caller, at("127.0.4.1", 40002)}
+		for n, c := range callers {
+			send("127.0.1.1", flowPacket(c, service, syn, 100, 0, ""))
+			p := receive(backend)
+			_, err := backend.WriteToUDPAddrPort(flowPacket(service, c, syn|ack, 500, 101, ""), at("127.0.3.1", outbound))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Flow.Caller).To(Equal(callers[n]))
+			receive(client)
+		}
+		for _, c := range callers {
+			send("127.0.1.1", flowPacket(c, service, ack, 101, 501, "request"))
+			Eventually(func() uint64 { return agent.Counters().Waited + uint64(agent.Counters().Running) }).Should(BeNumerically(">", 0))
+		}
+		Expect(receive(backend).Flow.Caller).To(Equal(callers[0]))
+		Eventually(func() uint64 { return agent.Counters().Waited }).Should(Equal(uint64(1)))
+		began := time.Now()
+		Expect(agent.Stop(ctx)).To(Succeed())
+		Expect(time.Since(began)).To(BeNumerically(">", 900*time.Millisecond), "the first request is in progress")
+		Expect(receive(backend).Flow.Caller).To(Equal(callers[1]))
+	})
+
 	It("keep forwarding after datagrams that are not packets", func() {
 		waitUntilServing(startBalancer("127.0.2.1"))
 		for _, junk := range []string{"", "x", strings.Repeat("y", 1500)} {
--- a/internal/process/flow.go
+++ b/internal/process/flow.go
@@ -160,7 +160,7 @@
 		case <-ctx.Done():
 			return a.Close()
 		case <-p.Stop:
-			return a.Close()
+			return a.Stop(ctx)
 		case <-p.Reload:
 		case <-poll.C:
 			if readFileStamp(p.SettingsPath) == lastStamp {
