--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -65,6 +65,7 @@
 		p.addEarlierService(source.Earlier[i].Address, source.Earlier[i].Service)
 		p.routed[source.Earlier[i].Service] = true
 	}
+	warmUps := indexWarmUps(source.Routing)
 	for i := range source.Servers {
 		e := &source.Servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
@@ -76,6 +77,7 @@
 		}
 		p.byAgent[agent] = newTarget(now, e, agent, old)
 		p.byAgent[agent].contested = contested
+		p.byAgent[agent].warmUp = warmUps[e.Service]
 	}
 	for i := range source.Servers {
 		t := p.byAgent[netip.AddrPortFrom(source.Servers[i].Address.Addr(), agentPort)]
@@ -86,6 +88,7 @@
 		p.byService[t.entry.Service] = append(p.byService[t.entry.Service], t)
 		if t.entry.Placeable() && !t.contested && !p.placementHeld {
 			p.placeable[t.entry.Service] = append(p.placeable[t.entry.Service], t)
+			t.markPlaceable(now, old)
 		}
 	}
 	p.addAnnounced(now, source.Announced, old)
