--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -93,7 +93,7 @@
 		return r
 	case a.declinesDrained(in, r):
 		return r
-	case !a.mayDeliverOpening(in.now) || !a.takeOpening(in.now):
+	case a.stopping.Load() || !a.mayDeliverOpening(in.now) || !a.takeOpening(in.now):
 		a.refuse(in)
 		return r
 	}
