configuration check: find what is wrong with a configuration before it is published

The decision is internal/vet, a pure function over the root types; platform/ translates the words of the pages and keeps what decoding for use drops (shares of weight 0, names, everything after the first error). Errors are what has no effect or keeps all of it out of force, warnings what takes effect but hardly as intended; exit codes as the other commands.

Of several routes with one address the last is in force, so earlier ones are reported. A warm-up duration without a rate is what configurations usually hold: not reported.

--- a/cmd/currantturn/hooks.go
+++ b/cmd/currantturn/hooks.go
@@ -23,6 +23,8 @@
 		SettingsVariable: platform.SettingsVariable,
 		Try:              runTry,
 		CheckPatch:       checkPatch,
+
+		CheckConfiguration: checkConfiguration,
 	}
 }
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -55,7 +55,8 @@
 const rootDescription = `currantturn distributes callers' packets over the backend servers of a service and
 keeps every established flow on its backend server.
 
-Exit codes: 0 success; 1 an invariant failed or a patch is rejected; 2 bad
+Exit codes: 0 success; 1 an invariant failed, or a patch or configuration is
+rejected; 2 bad
 settings, arguments or files; 3 the command could not be executed.
 
 SIGTERM or SIGINT stops a balancer or an agent gracefully, within the setting
@@ -79,6 +80,7 @@
 			p.processCommand("flow_balancer", "run the balancer of an entry VM for opaque flows", p.Hooks.FlowBalancer),
 			p.processCommand("flow_agent", "run the agent beside a backend server of opaque flows", p.Hooks.FlowAgent),
 			p.patchCommand(),
+			p.configurationCommand(),
 			p.statusCommand(),
 			p.settingsCommand(),
 			p.explainCommand(),
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, name := range []string{"", "balancer", "agent", "patch check", "status", "settings check", "try", "try authority", "version"} {
+	for _, name := range []string{"", "balancer", "agent", "patch check", "configuration check", "status", "settings check", "try", "try authority", "version"} {
 		p, out, _ := program(command.Hooks{})
 		if code := run(p, name+" --help"); code != command.ExitOK {
 			t.Fatalf("%s: exit code %d", name, code)
--- a/internal/command/constants.go
+++ b/internal/command/constants.go
@@ -8,7 +8,7 @@
 // Exit codes of every command.
 const (
 	ExitOK       = 0
-	ExitRejected = 1 // an invariant failed, or a patch is rejected
+	ExitRejected = 1 // an invariant failed, or a patch or configuration is rejected
 	ExitBadInput = 2 // bad settings, arguments or files
 	ExitFailure  = 3 // the command could not be executed
 )
@@ -16,6 +16,9 @@
 const (
 	// maxPatchBytes is the size limit of a patch file.
 	maxPatchBytes = 1 << 20
+	// maxConfigurationBytes is the size limit of the files of a configuration check: the
+	// largest listing of registrations.
+	maxConfigurationBytes = 16 << 20
 	// statusTimeout limits all requests of one status command.
 	statusTimeout = 10 * time.Second
 	// forcedStopDelay is how long a process may take to return after its context
--- a/internal/command/hooks.go
+++ b/internal/command/hooks.go
@@ -74,6 +74,9 @@
 	// CheckPatch returns the verdict on a patch, or ErrBadInput if the patch or the
 	// log cannot be read.
 	CheckPatch func(context.Context, PatchCheck) (*PatchVerdict, error)
+	// CheckConfiguration returns the verdict on a configuration of opaque flows, or
+	// ErrBadInput if it cannot be read.
+	CheckConfiguration func(ConfigurationCheck) (*ConfigurationVerdict, error)
 }
 
 // Format is the output format of a command.
