flowagent: count a first request's time from its arrival if its flow was opened long before

The first request of a flow took its age from the opening packet. Callers also keep flows open that they have not used yet; the first request on such a flow counted as expired at once and was dropped without running.

The opening packet counts only if the request follows within two retransmissions of a caller. The new spec fails without it.

--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -338,6 +338,16 @@
 			Expect(t.out.Deliveries).To(HaveLen(1))
 		})
 
+		// Callers open flows that they do not use at once.
+		It("counts the time of a first request from its arrival if its flow was opened long before", func() {
+			t.now = t.now.Add(700 * time.Millisecond)
+			t.route(otherCaller(1), currantturn.IntentHeld, ack, 101, 501, 50)
+			t.tick(200 * time.Millisecond)
+			Expect(t.agent.Counters().GaveUp).To(BeZero())
+			t.answer(otherCaller(0), ack, 501, 151, 100)
+			Expect(t.out.Deliveries).To(HaveLen(1))
+		})
+
 		It("drops the request of a flow that is reset", func() {
 			t.route(otherCaller(1), currantturn.IntentHeld, ack, 101, 501, 50)
 			t.route(otherCaller(2), currantturn.IntentHeld, ack, 101, 501, 50)
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -27,6 +27,10 @@
 	// requestTimeout is how long an unanswered request occupies a slot: several
 	// times the duration of the longest kind of request, for a slowed backend server.
 	requestTimeout = 2 * time.Second
+	// maxFirstRequestDelay is how long after the opening packet the first request of a
+	// flow may arrive to belong to the attempt that opened it: two retransmissions of a
+	// caller. Callers also keep flows open that they have not used yet.
+	maxFirstRequestDelay = 600 * time.Millisecond
 	// maxStoredPackets limits the packets stored for one waiting request; callers
 	// have at most 16 in flight.
 	maxStoredPackets = 16
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -40,7 +40,7 @@
 	}
 	attemptStarted := r.attemptStarted
 	r.attemptStarted = time.Time{}
-	if attemptStarted.IsZero() {
+	if attemptStarted.IsZero() || in.now.Sub(r.openingSent) > maxFirstRequestDelay {
 		attemptStarted = in.now
 	}
 	if !a.startIfSlotFree(in.demand.Slots) && a.queueRequest(in, attemptStarted) {
