backlog: late requests run only on slots that no timely one waits for

So each request became late, then overdue, and the backend server's queue held nothing else, until the burst was over and longer.

Now late requests get slots that no timely one waits for, nothing is delivered without a free slot, and what is expired is dropped.

All six entries fail without the change.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -25,15 +25,9 @@
 	return r.Demand.Timeout > 0 && now.Sub(r.AttemptStarted) >= r.Demand.Timeout
 }
 
-// overdue reports whether only the last part of the request's timeout is left.
-func (r *Request) overdue(now time.Time) bool {
-	return r.Demand.Timeout > 0 && now.Sub(r.AttemptStarted) >= r.Demand.Timeout-r.Demand.Timeout/overdueDivisor
-}
-
 // Backlog is a bounded set of waiting requests. It is not safe for concurrent use.
 type Backlog struct {
-	waiting         []Request // in order of arrival at the agent
-	timelySinceLate int       // timely requests released since the last late one
+	waiting []Request // in order of arrival at the agent
 }
 
 // Len returns the number of waiting requests.
@@ -64,55 +58,45 @@
 	b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
 }
 
-// RemoveDue removes and returns the requests that must not wait any longer:
-// expired ones, which must not run, and overdue ones, which are to be delivered
-// at once. The agent can't refuse a request on an open flow, but the backend
-// server can run an overdue one or truthfully refuse it while its caller still
-// waits.
-func (b *Backlog) RemoveDue(now time.Time) (expired, overdue []Request) {
+// RemoveExpired removes and returns the requests whose timeout has passed.
+func (b *Backlog) RemoveExpired(now time.Time) (expired []Request) {
 	kept := b.waiting[:0]
-	for _, r := range b.waiting {
-		switch {
-		case r.expired(now):
-			expired = append(expired, r)
-		case r.overdue(now):
-			overdue = append(overdue, r)
-		default:
-			kept = append(kept, r)
+	for i := range b.waiting {
+		if b.waiting[i].expired(now) {
+			expired = append(expired, b.waiting[i])
+			continue
 		}
+		kept = append(kept, b.waiting[i])
 	}
 	b.waiting = kept
-	return expired, overdue
+	return expired
 }
 
-// Pop removes and returns the request to run next when a slot is free. Requests
-// that can still be answered in time come first, by priority and then by
-// arrival; late ones get the remaining slots, and at least one in lateInterval.
-// After an outage, when all callers return at once, plain order of arrival would
-// make every request late until the backlog is empty.
+// Pop removes and returns the request to run next when a slot is free. Requests that
+// can still be answered in time come first, by priority and then by arrival; late ones
+// get the slots that no timely one waits for. If late ones took slots from timely ones, a
+// load above the capacity would soon make all of them late.
 func (b *Backlog) Pop(now time.Time, expected time.Duration) (Request, bool) {
-	timely, late := -1, -1
-	for i := range b.waiting {
-		best := &timely
-		if b.waiting[i].missesObjective(now, expected) {
-			best = &late
-		}
-		if *best < 0 || b.waiting[i].Demand.Priority < b.waiting[*best].Demand.Priority {
-			*best = i
-		}
-	}
-	index := timely
-	if timely < 0 || late >= 0 && b.timelySinceLate >= lateInterval-1 {
-		index = late
+	index, found := b.next(now, expected, false)
+	if !found {
+		index, found = b.next(now, expected, true)
 	}
-	if index < 0 {
+	if !found {
 		return Request{}, false
 	}
-	b.timelySinceLate++
-	if index == late {
-		b.timelySinceLate = 0
-	}
 	r := b.waiting[index]
 	b.removeAt(index)
 	return r, true
 }
+
+// next returns the index of the request with the highest priority that arrived first,
+// among those that miss their objective or among the others.
+func (b *Backlog) next(now time.Time, expected time.Duration, late bool) (index int, found bool) {
+	for i := range b.waiting {
+		r := &b.waiting[i]
+		if r.missesObjective(now, expected) == late && (!found || r.Demand.Priority < b.waiting[index].Demand.Priority) {
+			index, found = i, true
+		}
+	}
+	return index, found
+}
--- /dev/null
+++ b/internal/coordination/flowagent/overload_test.go
@@ -0,0 +1,55 @@
+package flowagent_test
+
+import (
+	"time"
+
+	"github.com/currantturn/currantturn"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// kinds returns two kinds of short requests on long flows, with the given share of the
+// urgent one.
+func kinds(urgent float64) []kind {
+	return []kind{
+		{
+			demand: currantturn.Demand{Priority: 1, LatencyObjective: 400 * time.Millisecond, Timeout: 2 * time.Second},
+			work:   44 * time.Millisecond, weight: urgent, worth: 2,
+		},
+		{
+			demand: currantturn.Demand{Priority: 2, LatencyObjective: 300 * time.Millisecond, Timeout: 1500 * time.Millisecond},
+			work:   34 * time.Millisecond, weight: 1 - urgent, worth: 1,
+		},
+	}
+}
+
+// even and uneven are servers of equal and of different speed.
+var (
+	even   = []float64{1, 1, 1, 1}
+	uneven = []float64{0.6, 1, 1.6, 0.6, 1, 1.6}
+)
+
+// Callers send more than the servers can do for four seconds. If late requests take
+// slots from timely ones, all are late soon, and stay so as long as the burst lasts.
+var _ = Describe("agents under overload", func() {
+	DescribeTable("answer in time what the servers can do", func(l overload, worth float64) {
+		r := l.play()
+		l.direct = true
+		GinkgoWriter.Printf("%+v\n%+v\n%+v direct\n", l, *r, *l.play())
+		Expect(r.worth).To(BeNumerically(">=", worth))
+		Expect(r.recovered.timelyShare()).To(BeNumerically(">=", 0.9), "a second after the burst")
+	},
+		Entry("below the capacity, with servers of different speed",
+			overload{kinds: kinds(0.2), speeds: uneven, slots: 2, queue: 8, usual: 0.6, burst: 0.9}, 0.92),
+		Entry("slightly above it",
+			overload{kinds: kinds(0.2), speeds: uneven, slots: 2, queue: 8, usual: 0.6, burst: 1.1}, 0.88),
+		Entry("at one and a half times of it",
+			overload{kinds: kinds(0.2), speeds: uneven, slots: 2, queue: 8, usual: 0.6, burst: 1.5}, 0.74),
+		Entry("at more than twice of it",
+			overload{kinds: kinds(0.2), speeds: uneven, slots: 2, queue: 8, usual: 0.6, burst: 2.2}, 0.57),
+		Entry("with equal servers",
+			overload{kinds: kinds(0.2), speeds: even, slots: 2, queue: 8, usual: 0.6, burst: 1.5}, 0.74),
+		Entry("with slow servers whose queue alone takes the objective",
+			overload{kinds: kinds(0.2), speeds: []float64{1.8, 1.8, 1.8, 1.8}, slots: 7, queue: 28, usual: 0.6, burst: 1.5}, 0.73),
+	)
+})
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -94,16 +94,15 @@
 	}
 }
 
-// releaseRequests runs waiting requests while slots are free, runs overdue ones
-// even without a free slot, and drops those whose timeout has expired.
+// releaseRequests runs waiting requests while slots are free, and drops those whose
+// timeout has expired.
 func (a *Agent) releaseRequests(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
-	expired, ready := a.backlog.RemoveDue(now)
-	for range ready {
-		a.tracker.requestStarted()
-	}
+	serviceTime := a.tracker.expectedServiceTime()
+	expired := a.backlog.RemoveExpired(now)
+	var ready []backlog.Request
 	for a.slots == 0 || a.tracker.inProgress() < a.slots {
-		next, found := a.backlog.Pop(now, a.tracker.expectedServiceTime())
+		next, found := a.backlog.Pop(now, serviceTime)
 		if !found {
 			break
 		}
