--- a/internal/coordination/statesync/drained_test.go
+++ b/internal/coordination/statesync/drained_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/message"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -79,6 +81,18 @@
 		Expect(f.events[event.DomainRestored]).To(Equal(24))
 	})
 
+	// A heartbeat that does not fit into a message is not sent at all.
+	It("fit into a heartbeat with the longest names that the store takes", func() {
+		f := newHistoryFleet(24)
+		for n := range 4 {
+			f.store.drain(currantturn.FailureDomain(strings.Repeat(string(rune('a'+n)), 187)))
+		}
+		f.run(spread)
+		Expect(f.drained(23)).To(HaveLen(4))
+		Expect(f.largestHeartbeat).To(BeNumerically(">", 800))
+		Expect(f.largestHeartbeat).To(BeNumerically("<=", message.MaxBytes))
+	})
+
 	It("may be several, each with its own end", func() {
 		f := newHistoryFleet(6)
 		f.store.drain("kurasini")
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -10,6 +10,7 @@
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/protocol/message"
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/suite"
 	. "github.com/onsi/ginkgo/v2"
@@ -41,7 +42,9 @@
 	withoutEras   func(n int) bool        // whether balancer n is a process that does not know of eras
 	withoutDrains func(n int) bool        // whether balancer n is a process that does not know of drained failure domains
 	heartbeatLost func(from, to int) bool // whether heartbeats from one balancer to another are lost
-	events        map[int]int             // events by number
+	// largestHeartbeat is the largest size of an encoded heartbeat.
+	largestHeartbeat int
+	events           map[int]int // events by number
 }
 
 type balancer struct {
@@ -147,6 +150,9 @@
 				state.Era, state.Unverified = 0, false
 			}
 			f.forgetDrained(i, j, &h, &state)
+			encoded, err := message.Encode(h)
+			Expect(err).NotTo(HaveOccurred())
+			f.largestHeartbeat = max(f.largestHeartbeat, len(encoded))
 			if receiver.feed.HandleHeartbeat(f.now, b.addr, h) == statesync.OutcomePull {
 				receiver.feed.ApplyPulled(f.now, state, &out)
 				f.pulls++
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -24,6 +24,7 @@
 type flowStore struct {
 	routing      *currantturn.Routing
 	registration *currantturn.Registration
+	drain        *currantturn.DrainOrder // nil if there is none
 	down         atomic.Bool
 }
 
@@ -35,6 +36,9 @@
 }
 
 func (s *flowStore) Configuration(context.Context) (currantturn.Listing, error) {
+	if s.drain != nil {
+		return s.listing(currantturn.Item{Routing: s.routing}, currantturn.Item{Drain: s.drain})
+	}
 	return s.listing(currantturn.Item{Routing: s.routing})
 }
 
@@ -76,6 +80,7 @@
 		service                 = netip.MustParseAddrPort("198.18.0.1:443")
 		caller                  netip.AddrPort
 		store                   *flowStore
+		agent                   *core.FlowAgent
 		backend, client         *net.UDPConn
 		report                  = func(currantturn.Event) {}
 	)
@@ -130,6 +135,7 @@
 		})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(a.Close)
+		agent = a
 	})
 
 	waitUntilServing := func(b *core.FlowBalancer) {
@@ -178,6 +184,21 @@
 		waitUntilServing(startBalancer("127.0.2.2", at("127.0.2.1", callers)))
 	})
 
+	It("open no flow in a drained failure domain, which the agent is told too", func() {
+		store.registration.FailureDomain = "upanga"
+		store.drain = &currantturn.DrainOrder{FailureDomain: "upanga"}
+		waitUntilServing(startBalancer("127.0.2.1"))
+		second := startBalancer("127.0.2.2", at("127.0.2.1", callers))
+		waitUntilServing(second)
+		Expect(second.Published().Drained).To(HaveLen(1))
+		for _, to := range []string{"127.0.2.1", "127.0.2.2"} {
+			send(to, flowPacket(caller, service, syn, 100, 0, ""))
+			Expect(receive(client).Mark).To(Equal(currantturn.MarkReset))
+		}
+		Eventually(func() bool { return agent.Drained(time.Now()) }).WithTimeout(5 * time.Second).Should(BeTrue())
+		Expect(second.PublishedCounters().Drained).To(Equal(1))
+	})
+
 	It("leave the routers' rotation before they stop, and still forward packets", func() {
 		b := startBalancer("127.0.2.1")
 		waitUntilServing(b)
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -117,6 +117,11 @@
 		f.Fatal(err)
 	}
 	f.Add(announce)
+	drained, err := relay.AppendMessage(nil, relay.Drained{Drained: true, Revision: 40, Era: 2})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(drained)
 	f.Fuzz(func(t *testing.T, frame []byte) {
 		var e currantturn.Envelope
 		m, err := relay.Decode(frame, "verify", &e)
