--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -24,7 +24,7 @@
 	{RoutingInForce, "routing_in_force", Info, "published configuration is in force", fields("version routes")},
 	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state era revision")},
 	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; if not trusted, it may have lapsed during a store outage and come back", fields("backend era revision trusted")},
-	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed", fields("key error")},
+	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed, an order to drain a failure domain holds by its key alone", fields("key error")},
 	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer era revision version")},
 	{StoreWatched, "store_watched", Info, "balancer watches the store: too few live balancers rank ahead of it by link capacity", fields("peers age")},
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
