backlog: kinds of requests share the slots by priority, and callers of a kind equally

Requests of one priority ran in order of arrival, so that a caller that sends more than half of the load displaced those that send little; and a burst of an urgent kind left nothing to others, since priority was strict.

Start-time fair queueing on two levels: kinds (address of the service), a step of priority doubles the share; then callers (address). Unused shares fall to the others and are not saved up.

Both specs fail without the change.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -28,6 +28,7 @@
 // Backlog is a bounded set of waiting requests. It is not safe for concurrent use.
 type Backlog struct {
 	waiting []Request // in order of arrival at the agent
+	shares  shares    // since the backlog was last empty
 }
 
 // Len returns the number of waiting requests.
@@ -73,29 +74,32 @@
 }
 
 // Pop removes and returns the request to run next when a slot is free. Requests that
-// can still be answered in time come first, by priority and then by arrival; late ones
-// get the slots that no timely one waits for. If late ones took slots from timely ones, a
-// load above the capacity would soon make all of them late.
+// can still be answered in time come first; late ones get the slots that no timely one
+// waits for. If late ones took slots from timely ones, a load above the capacity would
+// soon make all of them late. Among each of the two, kinds of requests share the slots by
+// their priority, and the callers of a kind equally; then arrival decides.
 func (b *Backlog) Pop(now time.Time, expected time.Duration) (Request, bool) {
-	index, found := b.next(now, expected, false)
-	if !found {
-		index, found = b.next(now, expected, true)
-	}
+	index, found := b.next(now, expected)
 	if !found {
 		return Request{}, false
 	}
 	r := b.waiting[index]
 	b.removeAt(index)
+	b.shares.charge(&r)
+	if len(b.waiting) == 0 {
+		b.shares = shares{}
+	}
 	return r, true
 }
 
-// next returns the index of the request with the highest priority that arrived first,
-// among those that miss their objective or among the others.
-func (b *Backlog) next(now time.Time, expected time.Duration, late bool) (index int, found bool) {
+// next returns the index of the request to run next.
+func (b *Backlog) next(now time.Time, expected time.Duration) (index int, found bool) {
+	var first position
 	for i := range b.waiting {
 		r := &b.waiting[i]
-		if r.missesObjective(now, expected) == late && (!found || r.Demand.Priority < b.waiting[index].Demand.Priority) {
-			index, found = i, true
+		p := b.shares.position(r, r.missesObjective(now, expected))
+		if !found || p.before(first) {
+			index, found, first = i, true, p
 		}
 	}
 	return index, found
--- a/internal/coordination/flowagent/overload_test.go
+++ b/internal/coordination/flowagent/overload_test.go
@@ -52,4 +52,22 @@
 		Entry("with slow servers whose queue alone takes the objective",
 			overload{kinds: kinds(0.2), speeds: []float64{1.8, 1.8, 1.8, 1.8}, slots: 7, queue: 28, usual: 0.6, burst: 1.5}, 0.73),
 	)
+
+	It("let no caller displace others of the same kind", func() {
+		l := overload{kinds: kinds(0.2), speeds: even, slots: 2, queue: 8, usual: 0.6, burst: 1.5, greedy: 0.6}
+		r := l.play()
+		l.direct = true
+		GinkgoWriter.Printf("%+v\n%+v direct\n", *r, *l.play())
+		Expect(r.others.timelyShare()).To(BeNumerically(">=", 0.9))
+		Expect(r.greedy.timelyShare()).To(BeNumerically(">=", 0.5), "unused shares are lent")
+	})
+
+	It("let no burst of an urgent kind starve another kind", func() {
+		l := overload{kinds: kinds(0.8), speeds: even, slots: 2, queue: 8, usual: 0.5, burst: 1.5}
+		r := l.play()
+		l.direct = true
+		GinkgoWriter.Printf("%+v\n%+v direct\n", *r, *l.play())
+		Expect(r.kinds[1].timelyShare()).To(BeNumerically(">=", 0.85))
+		Expect(r.kinds[0].timelyShare()).To(BeNumerically(">=", 0.6))
+	})
 })
