flowagent: release one waiting request for each objective without an answer

Since late requests wait for slots, a request in progress that the backend server lost or hangs on would keep others waiting until requestTimeout (2 s), which is past the timeout of most routes; before, they were delivered when overdue. If nothing is answered for the objective of a waiting request, one is delivered beyond the slots; the backend server's own queue bounds them.

--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -73,6 +73,17 @@
 	return expired
 }
 
+// Stalled reports whether a request waits whose objective is shorter than the time
+// that the backend server has answered nothing.
+func (b *Backlog) Stalled(unanswered time.Duration) bool {
+	for i := range b.waiting {
+		if objective := b.waiting[i].Demand.LatencyObjective; objective > 0 && unanswered >= objective {
+			return true
+		}
+	}
+	return false
+}
+
 // Pop removes and returns the request to run next when a slot is free. Requests that
 // can still be answered in time come first; late ones get the slots that no timely one
 // waits for. If late ones took slots from timely ones, a load above the capacity would
--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -60,8 +60,9 @@
 	slots              int       // of the backend server, 0 if unknown
 	// denials are the searched flows that are not held here, for the next message to
 	// each balancer.
-	denials map[netip.AddrPort]relay.Flows
-	backlog backlog.Backlog
+	denials      map[netip.AddrPort]relay.Flows
+	backlog      backlog.Backlog
+	lastProgress time.Time // when a request was last started or answered
 }
 
 // counts are the running totals that Counters returns.
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -62,6 +62,7 @@
 	if p.DataSize > 0 && !r.requestStarted.IsZero() {
 		a.serviceTimes.Record(now.Sub(r.requestStarted))
 		a.tracker.requestAnswered(now, now.Sub(r.requestStarted))
+		a.recordProgress(now)
 		r.requestStarted = time.Time{}
 	}
 	switch p.Mark {
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -43,7 +43,7 @@
 	if attemptStarted.IsZero() || in.now.Sub(r.openingSent) > maxFirstRequestDelay {
 		attemptStarted = in.now
 	}
-	if !a.startIfSlotFree(in.demand.Slots) && a.queueRequest(in, attemptStarted) {
+	if !a.startIfSlotFree(in.now, in.demand.Slots) && a.queueRequest(in, attemptStarted) {
 		r.balancer = in.from
 		a.storePacket(r, in.packet)
 		return
@@ -55,7 +55,7 @@
 
 // startIfSlotFree takes a slot if one is free and no request is waiting; slots is their
 // number, 0 if the packet does not tell it. With an unknown number it always succeeds.
-func (a *Agent) startIfSlotFree(slots int) bool {
+func (a *Agent) startIfSlotFree(now time.Time, slots int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slots > 0 {
@@ -65,6 +65,7 @@
 		return false
 	}
 	a.tracker.requestStarted()
+	a.lastProgress = now
 	return true
 }
 
@@ -94,8 +95,15 @@
 	}
 }
 
-// releaseRequests runs waiting requests while slots are free, and drops those whose
-// timeout has expired.
+// recordProgress records when the backend server last answered a request.
+func (a *Agent) recordProgress(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lastProgress = now
+}
+
+// releaseRequests runs waiting requests while slots are free, and one for each
+// objective that passes without an answer. It drops those whose timeout has expired.
 func (a *Agent) releaseRequests(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
 	serviceTime := a.tracker.expectedServiceTime()
@@ -107,8 +115,17 @@
 			break
 		}
 		a.tracker.requestStarted()
+		a.lastProgress = now
 		ready = append(ready, next)
 	}
+	if a.backlog.Stalled(now.Sub(a.lastProgress)) {
+		// What holds the slots may be lost or hang, while others would be answered.
+		if next, found := a.backlog.Pop(now, serviceTime); found {
+			a.tracker.requestStarted()
+			a.lastProgress = now
+			ready = append(ready, next)
+		}
+	}
 	waiting := a.backlog.Len()
 	a.mu.Unlock()
 	for i := range expired {
