--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -65,11 +65,12 @@
 	slots              int       // of the backend server, 0 if unknown
 	// denials are the searched flows that are not held here, for the next message to
 	// each balancer.
-	denials map[netip.AddrPort]relay.Flows
-	backlog backlog.Backlog
-	warmUp  *warmup.Limiter
-	cold    bool // whether the last event reported the backend server as cold
-	drain   drainNotice
+	denials      map[netip.AddrPort]relay.Flows
+	backlog      backlog.Backlog
+	warmUp       *warmup.Limiter
+	cold         bool // whether the last event reported the backend server as cold
+	drain        drainNotice
+	lastProgress time.Time // when a request was last started or answered
 }
 
 // counts are the running totals that Counters returns.
