placement: new flows by the speed of each backend server, compared by kind of work

A backend server faster than the lower median of five candidates got no more than the others, and one average over all requests made one with only long work look slow. Balancers now compare the times that agents report by route with the lower medians over the whole service (64 of it at most, renewed every 200 ms). Slowness goes down to 0.4; from 0.85 to 1 it counts as 1, since alike backend servers differ by chance. Loads without times by kind count as before. The reported limit replaces the slots.

A pause of two seconds between answers makes earlier samples void, as in the average before; without it a backend server that had become fast was logged as slow once more.

--- a/internal/coordination/capacity/constants.go
+++ b/internal/coordination/capacity/constants.go
@@ -12,6 +12,11 @@
 	minSamples = 8
 	// sampleLifetime is how long a sample counts.
 	sampleLifetime = 4 * time.Second
+	// rareLifetime is how long a sample counts if there are no more than minSamples. A slow
+	// backend server gets little work.
+	rareLifetime = 10 * time.Second
+	// maxPause is the pause between answers after which earlier samples no longer count.
+	maxPause = 2 * time.Second
 	// quantile is the share of answers that took at most the time of a kind. Rare long
 	// requests do not move it, and a backend server that fails up to half of its
 	// requests at once does not look much faster.
--- a/internal/coordination/capacity/times.go
+++ b/internal/coordination/capacity/times.go
@@ -27,6 +27,9 @@
 // Record adds the time that an answered request took.
 func (t *Times) Record(now time.Time, kind Kind, took time.Duration) {
 	k := t.find(kind)
+	if now.Sub(k.last) > maxPause {
+		*k = kindSamples{kind: kind}
+	}
 	k.times[k.next], k.ends[k.next] = took, now
 	k.next = (k.next + 1) % sampleCount
 	k.last = now
@@ -90,11 +93,14 @@
 func (k *kindSamples) quantile(now time.Time) (time.Duration, bool) {
 	var recent [sampleCount]time.Duration
 	n := 0
-	for i, end := range k.ends {
-		if !end.IsZero() && now.Sub(end) <= sampleLifetime {
-			recent[n] = k.times[i]
-			n++
+	for i := range sampleCount { // newest first
+		at := (k.next - 1 - i + sampleCount) % sampleCount
+		age := now.Sub(k.ends[at])
+		if k.ends[at].IsZero() || age > sampleLifetime && n >= minSamples || age > rareLifetime {
+			break
 		}
+		recent[n] = k.times[at]
+		n++
 	}
 	if n < minSamples {
 		return 0, false
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -60,6 +60,7 @@
 	holdersLearned bool // since the last tick
 	// deferred are searches that wait for a newer published state.
 	deferred    []currantturn.FlowKey
+	usual       map[currantturn.ServiceName]*usualTimes
 	sweepNumber int // number of the last sweep of the flow table
 	lastProbe   time.Time
 	counts      counts
@@ -98,6 +99,7 @@
 		rng:           rand.New(rand.NewPCG(opts.Seed, 11)),
 
 		queries:        make(map[netip.AddrPort]relay.Flows),
+		usual:          make(map[currantturn.ServiceName]*usualTimes),
 		learnedHolders: make(map[netip.AddrPort][]*target),
 	}
 }
@@ -176,6 +178,7 @@
 	}
 	p := newPlan(now, &s, b.opts.AgentPort, old)
 	b.plan.Store(p)
+	clear(b.usual)
 	b.updateLearned(p)
 	deferred := b.deferred
 	b.deferred = nil
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -48,11 +48,12 @@
 func (b *Balancer) chooseAmong(
 	now time.Time, placeable []*target, flow currantturn.FlowKey, tried []currantturn.BackendID, out *currantturn.Effects,
 ) (*target, placement.Candidate) {
+	usualTimes := b.usualTimes(now, placeable)
 	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
 		var targets []*target
 		var candidates []placement.Candidate
 		for _, t := range group {
-			c := t.candidate(now, b.opts.Domain)
+			c := t.candidate(now, b.opts.Domain, usualTimes)
 			if slices.Contains(tried, t.entry.ID) || c.Avoid && len(group) < len(placeable) {
 				continue
 			}
--- a/internal/coordination/flowbalancer/constants.go
+++ b/internal/coordination/flowbalancer/constants.go
@@ -38,6 +38,11 @@
 	// of every service, because an earlier configuration may have placed the flow
 	// on another service.
 	searchAllLimit = 64
+	// usualInterval is how often the usual times of a service's requests are taken of
+	// the reports.
+	usualInterval = 200 * time.Millisecond
+	// maxUsualSamples limits the backend servers that they are taken of.
+	maxUsualSamples = 64
 	// reportLifetime is how long a reported load is used for placement.
 	reportLifetime = 3 * time.Second
 	// answerTimeout is how long an agent may take to answer a query: many round
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -119,7 +119,7 @@
 }
 
 // candidate returns the target in the form in which placement compares it.
-func (t *target) candidate(now time.Time, local currantturn.FailureDomain) placement.Candidate {
+func (t *target) candidate(now time.Time, local currantturn.FailureDomain, usual placement.UsualTimes) placement.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := placement.Candidate{
@@ -131,6 +131,10 @@
 	}
 	if now.Sub(t.reportedAt) < reportLifetime {
 		c.Running, c.Flows, c.ServiceTime = t.load.Running+t.load.Waiting, t.load.Flows, t.load.ServiceTime()
+		c.Slowness = usual.Slowness(t.load.Times)
+		if t.load.Limit > 0 {
+			c.Slots = min(c.Slots, t.load.Limit)
+		}
 	}
 	return c
 }
--- a/internal/coordination/placement/constants.go
+++ b/internal/coordination/placement/constants.go
@@ -9,6 +9,12 @@
 	warmUpSlowness = 2
 	// maxSlowness limits the effect of a measured service time on the cost.
 	maxSlowness = 10
+	// minSlowness limits how much more work a fast backend server gets. One that fails
+	// requests at once looks fast.
+	minSlowness = 0.4
+	// fasterThreshold is the slowness below which a backend server counts as faster than
+	// usual. Times of alike backend servers differ by chance.
+	fasterThreshold = 0.85
 	// slowThreshold is the slowness from which a backend server is logged as slow: it
 	// receives at most half of the usual work.
 	slowThreshold = 2
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -12,6 +12,7 @@
 	Sent        int           // flows placed there since that report
 	Flows       int           // open flows, as last reported
 	ServiceTime time.Duration // average time to an answer; zero if unknown
+	Slowness    float64       // time to an answer, compared to the usual by kinds of requests; 0 if unknown
 	WarmingUp   bool          // true if it started recently
 	Local       bool          // true if it is in the balancer's failure domain
 	Avoid       bool          // true if it recently failed to answer
@@ -53,9 +54,17 @@
 	return total
 }
 
-// slowness returns the ratio of the candidate's service time to the usual one,
-// from 1 to maxSlowness; 1 if either is unknown.
+// slowness returns the ratio of the candidate's service time to the usual one, from
+// minSlowness to maxSlowness; 1 if it is unknown. A ratio near 1 counts as 1. Without
+// the times of kinds of requests, only a slower candidate counts: a short average may
+// come from the mix of its work.
 func (c *Candidate) slowness(usual time.Duration) float64 {
+	if c.Slowness > 0 {
+		if c.Slowness > fasterThreshold && c.Slowness < 1 {
+			return 1
+		}
+		return min(max(c.Slowness, minSlowness), maxSlowness)
+	}
 	if usual <= 0 || c.ServiceTime <= 0 {
 		return 1
 	}
--- /dev/null
+++ b/internal/coordination/placement/uneven_test.go
@@ -0,0 +1,240 @@
+package placement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/currantturn/currantturn/internal/coordination/capacity"
+	"github.com/currantturn/currantturn/internal/coordination/placement"
+	"github.com/currantturn/currantturn/internal/protocol/relay"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// unevenServer is a backend server of its own speed, with two slots.
+type unevenServer struct {
+	speed    float64
+	slotFree [2]time.Duration // when each slot is free
+	ends     []time.Duration  // of the requests
+	flows    int
+	times    capacity.Times
+	reported placement.Candidate
+	kinds    relay.KindTimes
+	timely   int
+	answers  int
+}
+
+// run runs a request that arrives now and returns when it ends.
+func (s *unevenServer) run(now time.Duration, work time.Duration) time.Duration {
+	slot := 0
+	if s.slotFree[1] < s.slotFree[0] {
+		slot = 1
+	}
+	started := max(now, s.slotFree[slot])
+	end := started + time.Duration(float64(work)/s.speed)
+	s.slotFree[slot] = end
+	s.ends = append(s.ends, end)
+	s.times.Record(time.Unix(1000, 0).Add(end), 1, end-started)
+	return end
+}
+
+// report takes the load as agents report it.
+func (s *unevenServer) report(now time.Duration) {
+	kept := s.ends[:0]
+	for _, end := range s.ends {
+		if end > now {
+			kept = append(kept, end)
+		}
+	}
+	s.ends = kept
+	s.reported = placement.Candidate{Slots: len(s.slotFree), Running: len(s.ends), Flows: s.flows, Local: true}
+	s.kinds = 0
+	s.times.All(time.Unix(1000, 0).Add(now), func(kind capacity.Kind, took time.Duration) bool {
+		s.kinds = s.kinds.Add(uint8(kind), took)
+		s.reported.ServiceTime = took
+		return true
+	})
+}
+
+// unevenPlay is a load of long flows on backend servers of three speeds.
+type unevenPlay struct {
+	seed     uint64
+	share    float64 // of all capacity
+	bySpeed  bool    // whether times by kinds are used
+	speeds   []float64
+	speedOf  func(server int, at time.Duration, usual float64) float64
+	duration time.Duration
+}
+
+// run plays the load and returns the backend servers.
+func (p *unevenPlay) run() []*unevenServer {
+	const (
+		step      = 5 * time.Millisecond
+		objective = 300 * time.Millisecond
+		lifetime  = 8 * time.Second
+		perFlow   = 0.6 // requests per second
+		median    = 30 * time.Millisecond
+		mean      = 39 * time.Millisecond
+	)
+	rng := rand.New(rand.NewPCG(p.seed, 3))
+	servers := make([]*unevenServer, len(p.speeds))
+	slots := 0.0
+	for i, speed := range p.speeds {
+		servers[i] = &unevenServer{speed: speed}
+		slots += speed * 2
+	}
+	type flow struct {
+		server *unevenServer
+		ends   time.Duration
+	}
+	var flows []flow
+	requests := p.share * slots / mean.Seconds() // per second
+	opened := requests / perFlow / lifetime.Seconds()
+	for at := time.Duration(0); at < p.duration; at += step {
+		if at%(200*time.Millisecond) == 0 {
+			for i, s := range servers {
+				if p.speedOf != nil {
+					s.speed = p.speedOf(i, at, p.speeds[i])
+				}
+				s.report(at)
+			}
+		}
+		for n := opened * step.Seconds(); rng.Float64() < n; n-- {
+			flows = append(flows, flow{servers[placeUneven(rng, servers, p.bySpeed)], at + lifetime})
+			flows[len(flows)-1].server.flows++
+		}
+		open := flows[:0]
+		for _, f := range flows {
+			if f.ends <= at {
+				f.server.flows--
+				continue
+			}
+			open = append(open, f)
+			if rng.Float64() < perFlow*step.Seconds() {
+				work := float64(median) * math.Exp(0.45*rng.NormFloat64())
+				if rng.Float64() < 0.03 {
+					work *= 7
+				}
+				f.server.answers++
+				if f.server.run(at, time.Duration(work))-at <= objective {
+					f.server.timely++
+				}
+			}
+		}
+		flows = open
+	}
+	return servers
+}
+
+// placeUneven places a flow among five random backend servers.
+func placeUneven(rng *rand.Rand, servers []*unevenServer, bySpeed bool) int {
+	var reported []relay.KindTimes
+	for _, s := range servers {
+		reported = append(reported, s.kinds)
+	}
+	usual := placement.UsualTimesOf(reported)
+	order := rng.Perm(len(servers))[:5]
+	var candidates []placement.Candidate
+	for _, i := range order {
+		c := servers[i].reported
+		if bySpeed {
+			c.Slowness = usual.Slowness(servers[i].kinds)
+		}
+		candidates = append(candidates, c)
+	}
+	best := order[placement.Choose(rng, candidates, placement.UsualServiceTime(candidates))]
+	servers[best].reported.Sent++
+	return best
+}
+
+var _ = Describe("placement of long flows on backend servers of three speeds", func() {
+	speeds := func(n int) (all []float64) {
+		for i := range n {
+			all = append(all, []float64{0.6, 1, 1.6}[i%3])
+		}
+		return all
+	}
+	alike := func(n int) []float64 { return slices.Repeat([]float64{1}, n) }
+	// timely plays the load with several seeds and returns the share answered in time, with
+	// and without the times by kinds of requests, and the answers of each backend server
+	// with them.
+	timely := func(p unevenPlay) (with, without float64, answers []int) {
+		answers = make([]int, len(p.speeds))
+		for _, p.bySpeed = range []bool{false, true} {
+			inTime, all := 0, 0
+			for p.seed = range uint64(4) {
+				for i, s := range p.run() {
+					inTime += s.timely
+					all += s.answers
+					if p.bySpeed {
+						answers[i] += s.answers
+					}
+				}
+			}
+			without, with = with, float64(inTime)/float64(all)
+		}
+		return with, without, answers
+	}
+
+	DescribeTable("answers more in time if a faster one gets more", func(load, gain float64) {
+		with, without, answers := timely(unevenPlay{share: load, speeds: speeds(24), duration: 40 * time.Second})
+		Expect(with).To(BeNumerically(">", without+gain))
+		Expect(answers[2]).To(BeNumerically("~", answers[0]*16/6, answers[0]), "of a fast one, beside a slow one")
+	},
+		Entry("at usual load", 0.55, 0.005),
+		Entry("at high load", 0.75, 0.03),
+		Entry("near overload", 0.85, 0.03),
+	)
+
+	It("follows backend servers that become slow before they are full", func() {
+		with, without, answers := timely(unevenPlay{
+			share: 0.6, speeds: alike(12), duration: 40 * time.Second,
+			speedOf: func(server int, at time.Duration, usual float64) float64 {
+				if server < 3 && at > 15*time.Second {
+					return usual * 0.5
+				}
+				return usual
+			},
+		})
+		Expect(with).To(BeNumerically(">", without-0.01))
+		Expect(answers[0]).To(BeNumerically("<", answers[11]*8/10))
+	})
+
+	It("answers as many in time as before where all are alike", func() {
+		for _, load := range []float64{0.6, 0.8} {
+			with, without, _ := timely(unevenPlay{share: load, speeds: alike(12), duration: 40 * time.Second})
+			Expect(with).To(BeNumerically("~", without, 0.01), "load %.1f", load)
+		}
+	})
+
+	It("sends a backend server that fails requests at once little more than others", func() {
+		failing := placement.Candidate{Slots: 2, Running: 2, Flows: 20, Slowness: 0.01, Local: true}
+		other := placement.Candidate{Slots: 2, Flows: 4, Slowness: 1, Local: true}
+		for range 100 {
+			Expect(choose(rand.New(rand.NewPCG(1, 1)), []placement.Candidate{failing, other})).To(Equal(1))
+		}
+	})
+})
+
+var _ = Describe("the usual times", func() {
+	const long, short = 200 * time.Millisecond, 20 * time.Millisecond
+
+	It("compare each kind of requests with itself", func() {
+		usual := placement.UsualTimesOf([]relay.KindTimes{
+			relay.KindTimes(0).Add(1, short).Add(2, long), relay.KindTimes(0).Add(1, short), relay.KindTimes(0).Add(2, long),
+		})
+		Expect(usual.Slowness(relay.KindTimes(0).Add(2, long))).To(BeNumerically("~", 1, 0.05), "with only long work")
+		Expect(usual.Slowness(relay.KindTimes(0).Add(1, short/2).Add(2, long/2))).To(BeNumerically("~", 0.5, 0.05))
+		Expect(usual.Slowness(relay.KindTimes(0).Add(3, long))).To(BeZero())
+		Expect(usual.Slowness(0)).To(BeZero())
+	})
+
+	It("are those of the majority", func() {
+		usual := placement.UsualTimesOf([]relay.KindTimes{
+			relay.KindTimes(0).Add(1, long), relay.KindTimes(0).Add(1, short), relay.KindTimes(0).Add(1, short),
+		})
+		Expect(usual.Slowness(relay.KindTimes(0).Add(1, long))).To(BeNumerically("~", 10, 0.5))
+	})
+})
