flowagent: event and metric for the number of requests that a backend server takes well

Operators see the limit as holding.limit and its changes as event 845, and how slow a backend server counts in events 836 and 837. Trials of one level more are no change.

--- a/internal/coordination/capacity/concurrency.go
+++ b/internal/coordination/capacity/concurrency.go
@@ -97,6 +97,15 @@
 	return c.upperEnd(c.level)
 }
 
+// Learned returns the limit without the trials of a level more or fewer slots.
+func (c *Concurrency) Learned(now time.Time) int {
+	c.advance(now)
+	if c.slots == 0 {
+		return 0
+	}
+	return c.upperEnd(c.level)
+}
+
 // levelInProgress returns the level of the requests in progress. Requests beyond the slots
 // wait in the backend server's own queue, which tells nothing about its slots.
 func (c *Concurrency) levelInProgress() (int, bool) {
--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -56,6 +56,7 @@
 	unansweredOpenings int       // consecutive opening packets without an answer
 	unresponsiveSince  time.Time // when the backend server became unresponsive; zero if it is not
 	lastRetry          time.Time // when an unresponsive backend server was last sent an opening packet
+	loggedLimit        int       // limit on requests at once in the last event; 0 if it is the slots
 	sweepNumber        int       // number of the last sweep of the flow table
 	// denials are the searched flows that are not held here, for the next message to
 	// each balancer.
@@ -82,6 +83,7 @@
 	GaveUp    uint64 `json:"gave_up"`   // requests dropped because their timeout expired while they waited
 	Flows     int    `json:"flows"`     // flows tracked now
 	Running   int    `json:"running"`   // requests in progress now
+	Limit     int    `json:"limit"`     // requests that the backend server takes well at once, 0 if they are as many as it has slots
 
 	Waits  metric.Summary `json:"waits"`  // time from the start of a caller's attempt until its waiting request runs
 	Opens  metric.Summary `json:"opens"`  // time from an opening packet to its answer
@@ -126,7 +128,7 @@
 		Returned: c.returned.Load(), Declined: c.declined.Load(), Forgotten: c.forgotten.Load(),
 		Foreign: c.foreign.Load(), Full: c.full.Load(),
 		Waited: c.waited.Load(), GaveUp: c.gaveUp.Load(),
-		Flows: a.flows.Len(), Running: a.tracker.inProgress(),
+		Flows: a.flows.Len(), Running: a.tracker.inProgress(), Limit: a.lastLimit(),
 		Waits: a.waitTimes.Summary(), Opens: a.openTimes.Summary(), Serves: a.serviceTimes.Summary(),
 	}
 }
@@ -255,6 +257,7 @@
 		return false
 	})
 	a.releaseRequests(now, out)
+	a.reportLimit(now, out)
 	a.sendDenials(out)
 	a.sendReports(now, out)
 }
--- a/internal/coordination/flowagent/capacity_test.go
+++ b/internal/coordination/flowagent/capacity_test.go
@@ -63,6 +63,7 @@
 		before := answers(5 * time.Second)
 		answers(20 * time.Second)
 		Expect(answers(5 * time.Second)).To(BeNumerically(">", 2*before))
+		Expect(t.agent.Counters().Limit).To(And(BeNumerically(">", 0), BeNumerically("<", 4)))
 		t.out.Reset()
 		t.agent.Handle(t.now, balancer, relay.Probe{}, &t.out)
 		load := t.out.Sends[0].Message.(relay.Report).Load
--- a/internal/coordination/flowagent/load.go
+++ b/internal/coordination/flowagent/load.go
@@ -50,6 +50,14 @@
 	return limit == 0 || t.concurrency.InProgress() < limit
 }
 
+// limit returns how many requests the backend server takes well at once, 0 if it is
+// unknown, of how many slots.
+func (t *loadTracker) limit(now time.Time) (limit, slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.concurrency.Learned(now), t.concurrency.Slots()
+}
+
 // addOpenFlows adds n open flows; n is negative for flows that end.
 func (t *loadTracker) addOpenFlows(n int) {
 	t.mu.Lock()
--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 )
 
@@ -45,6 +46,30 @@
 	return load
 }
 
+// reportLimit emits an event if the number of requests that the backend server takes
+// well at once has changed.
+func (a *Agent) reportLimit(now time.Time, out *currantturn.Effects) {
+	limit, slots := a.tracker.limit(now)
+	logged := limit
+	if limit == slots {
+		logged = 0
+	}
+	a.mu.Lock()
+	changed := a.loggedLimit != logged
+	a.loggedLimit = logged
+	a.mu.Unlock()
+	if changed {
+		out.Event(event.BackendLimit, event.F("backend", a.opts.Backend), event.F("limit", limit), event.F("slots", slots))
+	}
+}
+
+// lastLimit returns the limit of the last event, 0 if it is the slots.
+func (a *Agent) lastLimit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loggedLimit
+}
+
 // sendReports sends the load to recently active balancers: after reportInterval
 // if it has changed, else after refreshInterval. If the rate limit is reached,
 // those with the oldest report come first.
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -110,7 +110,7 @@
 		if slow {
 			eventNumber = event.BackendSlow
 		}
-		out.Event(eventNumber, event.F("backend", t.entry.ID), event.F("service_time", c.ServiceTime),
-			event.F("usual", usual), event.F("age", t.loadSnapshot(now).age))
+		out.Event(eventNumber, event.F("backend", t.entry.ID), event.F("slowness", c.SlownessAgainst(usual)),
+			event.F("service_time", c.ServiceTime), event.F("usual", usual), event.F("age", t.loadSnapshot(now).age))
 	}
 }
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -71,6 +71,9 @@
 	return min(max(float64(c.ServiceTime)/float64(usual), 1), maxSlowness)
 }
 
+// SlownessAgainst returns the slowness that placement uses, given the usual service time.
+func (c *Candidate) SlownessAgainst(usual time.Duration) float64 { return c.slowness(usual) }
+
 // IsSlow reports whether the candidate is so much slower than usual that it receives
 // clearly less work. The threshold is lower if it was slow before.
 func (c *Candidate) IsSlow(usual time.Duration, wasSlow bool) bool {
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -22,6 +22,7 @@
 	AgentSilent      = 838
 	AgentHeard       = 839
 	FlowOverflowed   = 840
+	BackendLimit     = 845
 )
 
 var opaqueFlowDefinitions = []Definition{
@@ -32,8 +33,9 @@
 	{FlowForgotten, "flow_forgotten", Info, "backend server no longer holds an open flow; a reset was sent to the caller", fields("flow backend")},
 	{BackendSilent, "backend_silent", Warning, "backend server does not answer opening packets", fields("backend unanswered waited")},
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
-	{BackendSlow, "backend_slow", Warning, "backend server is slower than the others; it is treated as busier", fields("backend service_time usual age")},
-	{BackendUsual, "backend_usual", Info, "backend server is about as fast as the others again", fields("backend service_time usual age")},
+	{BackendSlow, "backend_slow", Warning, "backend server is slower than the others; it is treated as busier", fields("backend slowness service_time usual age")},
+	{BackendUsual, "backend_usual", Info, "backend server is about as fast as the others again", fields("backend slowness service_time usual age")},
+	{BackendLimit, "backend_limit", Info, "agent runs another number of requests at once, since more would not raise the rate of answers, or would again", fields("backend limit slots")},
 	{AgentSilent, "agent_silent", Warning, "agent does not answer while others do, and its registration is gone; it is treated as holding no flows", fields("backend peer unanswered registered")},
 	{AgentHeard, "agent_heard", Info, "agent answers again", fields("backend peer")},
 	{FlowOverflowed, "flow_overflowed", Info, "new flow goes to another service of its route: the drawn one has no backend server for it, or only overloaded ones", fields("flow drawn service")},
