placement: suspect backend servers whose answers come far too early

A grey backend server fails part of its requests at once. Its answers are short, so by the speed alone it would even get more. Agents report the share of answers that took less than a quarter of their kind's time (2 bytes at most); balancers compare it with the median of the service. From 0.2 above that, or when it seems more than four times as fast as usual, a backend server counts as four times slower: it still gets a few flows, which show its recovery, and as many as others if all are suspected.

Hanging and slow ones show by their times, 4 times the others', which count already.

--- a/internal/coordination/capacity/constants.go
+++ b/internal/coordination/capacity/constants.go
@@ -21,6 +21,9 @@
 	// requests do not move it, and a backend server that fails up to half of its
 	// requests at once does not look much faster.
 	quantile = 0.75
+	// shortDivisor is the part of the time of a kind below which an answer came far too
+	// early.
+	shortDivisor = 4
 
 	// maxLevels limits the numbers of requests in progress that are told apart; with
 	// more slots, several numbers share a level.
--- a/internal/coordination/capacity/times.go
+++ b/internal/coordination/capacity/times.go
@@ -89,10 +89,41 @@
 	}
 }
 
+// ShortShare returns the share of recent answers that came far too early for their
+// kind, as those of failures mostly do; 0 if there are too few.
+func (t *Times) ShortShare(now time.Time) float64 {
+	short, all := 0, 0
+	for i := range t.kinds {
+		recent, n := t.kinds[i].recent(now)
+		if n < minSamples {
+			continue
+		}
+		limit := recent[int(quantile*float64(n))] / shortDivisor
+		all += n
+		for _, took := range recent[:n] { // in ascending order
+			if took >= limit {
+				break
+			}
+			short++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(short) / float64(all)
+}
+
 // quantile returns the quantile of the samples that still count.
 func (k *kindSamples) quantile(now time.Time) (time.Duration, bool) {
-	var recent [sampleCount]time.Duration
-	n := 0
+	recent, n := k.recent(now)
+	if n < minSamples {
+		return 0, false
+	}
+	return recent[int(quantile*float64(n))], true
+}
+
+// recent returns the n samples that still count, in ascending order.
+func (k *kindSamples) recent(now time.Time) (recent [sampleCount]time.Duration, n int) {
 	for i := range sampleCount { // newest first
 		at := (k.next - 1 - i + sampleCount) % sampleCount
 		age := now.Sub(k.ends[at])
@@ -102,9 +133,6 @@
 		recent[n] = k.times[at]
 		n++
 	}
-	if n < minSamples {
-		return 0, false
-	}
 	slices.Sort(recent[:n])
-	return recent[int(quantile*float64(n))], true
+	return recent, n
 }
--- a/internal/coordination/capacity/times_test.go
+++ b/internal/coordination/capacity/times_test.go
@@ -59,6 +59,19 @@
 		}
 	})
 
+	It("show the share of answers that came far too early", func() {
+		p := play{seed: 3, slots: 2, kinds: steady(0.5, 2), speed: proportional, duration: 30 * time.Second, failing: during(10*time.Second, 16*time.Second, 0.45, 0)}
+		p.each = func(at time.Duration, _ *capacity.Concurrency, t *capacity.Times) {
+			switch short := t.ShortShare(time.Unix(1000, 0).Add(at)); {
+			case at < 10*time.Second, at > 21*time.Second:
+				Expect(short).To(BeNumerically("<", 0.1), "at %s", at)
+			case at > 13*time.Second && at < 16*time.Second:
+				Expect(short).To(BeNumerically(">", 0.2), "at %s", at)
+			}
+		}
+		p.run()
+	})
+
 	of := func(times *capacity.Times, now time.Time, id capacity.Kind) time.Duration {
 		took, _ := times.Of(now, id)
 		return took
--- a/internal/coordination/flowagent/load.go
+++ b/internal/coordination/flowagent/load.go
@@ -21,6 +21,7 @@
 	lastAnswer      time.Time            // when the last answer arrived
 	lastOverSlots   time.Time            // when more requests than slots were last in progress
 	reportedTimes   relay.KindTimes      // times in the form of reports
+	reportedShort   int                  // share of answers that came far too early, in percent
 	timesAt         time.Time            // when reportedTimes was set
 }
 
@@ -130,6 +131,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := relay.Load{Running: t.concurrency.InProgress(), Flows: t.openFlows, Times: t.kindTimes(now)}
+	l.Short = t.reportedShort
 	if limit := t.concurrency.Limit(now); limit < t.concurrency.Slots() {
 		l.Limit = limit
 	}
@@ -139,12 +141,14 @@
 	return l
 }
 
-// kindTimes returns the times in the form of reports, renewed once per reportInterval.
+// kindTimes returns the times in the form of reports. They and reportedShort are renewed
+// once per reportInterval.
 func (t *loadTracker) kindTimes(now time.Time) relay.KindTimes {
 	if now.Sub(t.timesAt) < reportInterval {
 		return t.reportedTimes
 	}
 	t.reportedTimes, t.timesAt = 0, now
+	t.reportedShort = int(100 * t.times.ShortShare(now))
 	t.times.All(now, func(kind capacity.Kind, took time.Duration) bool {
 		t.reportedTimes = t.reportedTimes.Add(uint8(kind), took)
 		return true
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -48,21 +48,21 @@
 func (b *Balancer) chooseAmong(
 	now time.Time, placeable []*target, flow currantturn.FlowKey, tried []currantturn.BackendID, out *currantturn.Effects,
 ) (*target, placement.Candidate) {
-	usualTimes := b.usualTimes(now, placeable)
+	usual := b.usualTimes(now, placeable)
 	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
 		var targets []*target
 		var candidates []placement.Candidate
 		for _, t := range group {
-			c := t.candidate(now, b.opts.Domain, usualTimes)
+			c := t.candidate(now, b.opts.Domain, usual)
 			if slices.Contains(tried, t.entry.ID) || c.Avoid && len(group) < len(placeable) {
 				continue
 			}
 			targets = append(targets, t)
 			candidates = append(candidates, c)
 		}
-		usual := placement.UsualServiceTime(candidates)
-		reportSpeedChanges(now, targets, candidates, usual, out)
-		if best := placement.Choose(b.rng, candidates, usual); best >= 0 {
+		usualTime := placement.UsualServiceTime(candidates)
+		reportSpeedChanges(now, targets, candidates, usualTime, out)
+		if best := placement.Choose(b.rng, candidates, usualTime); best >= 0 {
 			return targets[best], candidates[best]
 		}
 	}
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -119,7 +119,7 @@
 }
 
 // candidate returns the target in the form in which placement compares it.
-func (t *target) candidate(now time.Time, local currantturn.FailureDomain, usual placement.UsualTimes) placement.Candidate {
+func (t *target) candidate(now time.Time, local currantturn.FailureDomain, usual *usualTimes) placement.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := placement.Candidate{
@@ -131,7 +131,8 @@
 	}
 	if now.Sub(t.reportedAt) < reportLifetime {
 		c.Running, c.Flows, c.ServiceTime = t.load.Running+t.load.Waiting, t.load.Flows, t.load.ServiceTime()
-		c.Slowness = usual.Slowness(t.load.Times)
+		c.Slowness = usual.times.Slowness(t.load.Times)
+		c.Short = float64(t.load.Short-usual.short) / 100
 		if t.load.Limit > 0 {
 			c.Slots = min(c.Slots, t.load.Limit)
 		}
--- a/internal/coordination/placement/constants.go
+++ b/internal/coordination/placement/constants.go
@@ -15,6 +15,15 @@
 	// fasterThreshold is the slowness below which a backend server counts as faster than
 	// usual. Times of alike backend servers differ by chance.
 	fasterThreshold = 0.85
+	// suspectShare is the share of answers that came far too early, above that of the other
+	// backend servers, from which one is suspected to fail requests.
+	suspectShare = 0.2
+	// failingSlowness is the slowness below which a backend server is suspected to fail
+	// most requests.
+	failingSlowness = 0.25
+	// suspectSlowness is the slowness assumed of such a backend server. It still gets a
+	// few flows, and more when the others are full, so that its recovery shows.
+	suspectSlowness = 4
 	// slowThreshold is the slowness from which a backend server is logged as slow: it
 	// receives at most half of the usual work.
 	slowThreshold = 2
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -13,6 +13,7 @@
 	Flows       int           // open flows, as last reported
 	ServiceTime time.Duration // average time to an answer; zero if unknown
 	Slowness    float64       // time to an answer, compared to the usual by kinds of requests; 0 if unknown
+	Short       float64       // share of answers that came far too early, above that of the others
 	WarmingUp   bool          // true if it started recently
 	Local       bool          // true if it is in the balancer's failure domain
 	Avoid       bool          // true if it recently failed to answer
@@ -43,6 +44,9 @@
 	if c.WarmingUp {
 		slowness = max(slowness, warmUpSlowness)
 	}
+	if c.suspect() {
+		slowness = max(slowness, suspectSlowness)
+	}
 	busy := float64(c.Running + c.Sent + 1)
 	total := slowness * (busy/slots + openFlowWeight*float64(c.Flows)/slots)
 	if !c.Local {
@@ -54,6 +58,12 @@
 	return total
 }
 
+// suspect reports whether the candidate probably fails requests: far more of its answers
+// than of the others' came far too early, or most did.
+func (c *Candidate) suspect() bool {
+	return c.Short >= suspectShare || c.Slowness > 0 && c.Slowness < failingSlowness
+}
+
 // slowness returns the ratio of the candidate's service time to the usual one, from
 // minSlowness to maxSlowness; 1 if it is unknown. A ratio near 1 counts as 1. Without
 // the times of kinds of requests, only a slower candidate counts: a short average may
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -20,6 +20,8 @@
 	// Limit is how many requests at once the backend server takes well, 0 if that is as
 	// many as it has slots.
 	Limit int `cbor:"11,keyasint,omitempty"`
+	// Short is the share of answers that came far too early for their kind, in percent.
+	Short int `cbor:"12,keyasint,omitempty"`
 }
 
 // ServiceTime returns the mean service time of recent requests.
