--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -44,9 +44,6 @@
 	if c.WarmingUp {
 		slowness = max(slowness, warmUpSlowness)
 	}
-	if c.suspect() {
-		slowness = max(slowness, suspectSlowness)
-	}
 	busy := float64(c.Running + c.Sent + 1)
 	total := slowness * (busy/slots + openFlowWeight*float64(c.Flows)/slots)
 	if !c.Local {
@@ -65,10 +62,13 @@
 }
 
 // slowness returns the ratio of the candidate's service time to the usual one, from
-// minSlowness to maxSlowness; 1 if it is unknown. A ratio near 1 counts as 1. Without
-// the times of kinds of requests, only a slower candidate counts: a short average may
-// come from the mix of its work.
+// minSlowness to maxSlowness; 1 if it is unknown, and at least suspectSlowness for a
+// suspect. A ratio just below 1 counts as 1. Without the times of kinds of requests, only
+// a slower candidate counts: a short average may come from the mix of its work.
 func (c *Candidate) slowness(usual time.Duration) float64 {
+	if c.suspect() {
+		return min(max(c.Slowness, suspectSlowness), maxSlowness)
+	}
 	if c.Slowness > 0 {
 		if c.Slowness > fasterThreshold && c.Slowness < 1 {
 			return 1
