placement: spec with many balancers and late reports

Requests count in the times once they have ended; the play of the spec recorded them as they arrived.

--- a/internal/coordination/placement/uneven_test.go
+++ b/internal/coordination/placement/uneven_test.go
@@ -13,17 +13,24 @@
 	. "github.com/onsi/gomega"
 )
 
+// unevenRequest is a request that runs or waits.
+type unevenRequest struct{ end, took time.Duration }
+
+// unevenReport is a load as agents report it.
+type unevenReport struct {
+	candidate placement.Candidate
+	kinds     relay.KindTimes
+	short     int // answers that came far too early, in percent
+}
+
 // unevenServer is a backend server of its own speed, with two slots.
 type unevenServer struct {
 	speed    float64
 	slotFree [2]time.Duration // when each slot is free
-	ends     []time.Duration  // of the requests
+	requests []unevenRequest  // that have not ended at the last report
 	flows    int
 	started  []time.Duration // of all requests
 	times    capacity.Times
-	reported placement.Candidate
-	kinds    relay.KindTimes
-	short    int // answers that came far too early, in percent, as reported
 	failing  float64
 	timely   int
 	failed   int
@@ -39,9 +46,8 @@
 	started := max(now, s.slotFree[slot])
 	end := started + time.Duration(float64(work)/s.speed)
 	s.slotFree[slot] = end
-	s.ends = append(s.ends, end)
+	s.requests = append(s.requests, unevenRequest{end: end, took: end - started})
 	s.started = append(s.started, now)
-	s.times.Record(time.Unix(1000, 0).Add(end), 1, end-started)
 	return end
 }
 
@@ -55,36 +61,43 @@
 	return n
 }
 
-// report takes the load as agents report it.
-func (s *unevenServer) report(now time.Duration) {
-	kept := s.ends[:0]
-	for _, end := range s.ends {
-		if end > now {
-			kept = append(kept, end)
+// report returns the load.
+func (s *unevenServer) report(at time.Duration) unevenReport {
+	now := time.Unix(1000, 0).Add(at)
+	s.requests = slices.DeleteFunc(s.requests, func(r unevenRequest) bool {
+		if r.end > at {
+			return false
 		}
+		s.times.Record(time.Unix(1000, 0).Add(r.end), 1, r.took)
+		return true
+	})
+	r := unevenReport{
+		candidate: placement.Candidate{Slots: len(s.slotFree), Running: len(s.requests), Flows: s.flows, Local: true},
+		short:     int(100 * s.times.ShortShare(now)),
 	}
-	s.ends = kept
-	s.short = int(100 * s.times.ShortShare(time.Unix(1000, 0).Add(now)))
-	s.reported = placement.Candidate{Slots: len(s.slotFree), Running: len(s.ends), Flows: s.flows, Local: true}
-	s.kinds = 0
-	s.times.All(time.Unix(1000, 0).Add(now), func(kind capacity.Kind, took time.Duration) bool {
-		s.kinds = s.kinds.Add(uint8(kind), took)
-		s.reported.ServiceTime = took
+	s.times.All(now, func(kind capacity.Kind, took time.Duration) bool {
+		r.kinds = r.kinds.Add(uint8(kind), took)
+		r.candidate.ServiceTime = took
 		return true
 	})
+	return r
 }
 
 // unevenPlay is a load of long flows on backend servers of three speeds.
 type unevenPlay struct {
-	seed     uint64
-	share    float64 // of all capacity
-	bySpeed  bool    // whether times by kinds are used
-	speeds   []float64
-	failing  func(server int, at time.Duration) float64 // share of requests that fail at once
-	speedOf  func(server int, at time.Duration, usual float64) float64
-	duration time.Duration
-	lifetime time.Duration // of a flow
-	perFlow  float64       // requests per second of a flow, after the first
+	seed  uint64
+	share float64 // of all capacity
+	// balancers place flows independently of each other, with one report per server in
+	// reportInterval.
+	balancers      int
+	reportInterval time.Duration
+	bySpeed        bool // whether times by kinds are used
+	speeds         []float64
+	failing        func(server int, at time.Duration) float64 // share of requests that fail at once
+	speedOf        func(server int, at time.Duration, usual float64) float64
+	duration       time.Duration
+	lifetime       time.Duration // of a flow
+	perFlow        float64       // requests per second of a flow, after the first
 }
 
 // run plays the load and returns the backend servers.
@@ -102,6 +115,11 @@
 		servers[i] = &unevenServer{speed: speed}
 		slots += speed * 2
 	}
+	views := make([][]unevenReport, max(p.balancers, 1))
+	for i := range views {
+		views[i] = make([]unevenReport, len(servers))
+	}
+	interval := max(p.reportInterval, 200*time.Millisecond)
 	type flow struct {
 		server *unevenServer
 		ends   time.Duration
@@ -119,11 +137,17 @@
 				if p.failing != nil {
 					s.failing = p.failing(i, at)
 				}
-				s.report(at)
+			}
+		}
+		for b := range views {
+			if (at+time.Duration(b)*step)%interval == 0 {
+				for i, s := range servers {
+					views[b][i] = s.report(at)
+				}
 			}
 		}
 		for n := opened * step.Seconds(); rng.Float64() < n; n-- {
-			f := flow{server: servers[placeUneven(rng, servers, p.bySpeed)], first: true}
+			f := flow{server: servers[placeUneven(rng, views[rng.IntN(len(views))], p.bySpeed)], first: true}
 			f.ends = at + step + time.Duration(rng.ExpFloat64()*float64(p.lifetime))
 			f.server.flows++
 			flows = append(flows, f)
@@ -158,24 +182,24 @@
 }
 
 // placeUneven places a flow among five random backend servers.
-func placeUneven(rng *rand.Rand, servers []*unevenServer, bySpeed bool) int {
+func placeUneven(rng *rand.Rand, view []unevenReport, bySpeed bool) int {
 	var reported []relay.KindTimes
-	for _, s := range servers {
-		reported = append(reported, s.kinds)
+	for _, r := range view {
+		reported = append(reported, r.kinds)
 	}
 	usual := placement.UsualTimesOf(reported)
-	order := rng.Perm(len(servers))[:5]
+	order := rng.Perm(len(view))[:5]
 	var candidates []placement.Candidate
 	for _, i := range order {
-		c := servers[i].reported
+		c := view[i].candidate
 		if bySpeed {
-			c.Slowness = usual.Slowness(servers[i].kinds)
-			c.Short = float64(servers[i].short) / 100 // the median is about 0
+			c.Slowness = usual.Slowness(view[i].kinds)
+			c.Short = float64(view[i].short) / 100 // the median is about 0
 		}
 		candidates = append(candidates, c)
 	}
 	best := order[placement.Choose(rng, candidates, placement.UsualServiceTime(candidates))]
-	servers[best].reported.Sent++
+	view[best].candidate.Sent++
 	return best
 }
 
@@ -232,6 +256,15 @@
 		Expect(answers[0]).To(BeNumerically("<", answers[11]*8/10))
 	})
 
+	// Old reports must not send the flows of all balancers to the same backend servers.
+	It("answers more in time with many balancers and late reports", func() {
+		with, without, _ := timely(unevenPlay{
+			share: 0.75, speeds: speeds(24), duration: 30 * time.Second, lifetime: 8 * time.Second, perFlow: 0.6,
+			balancers: 20, reportInterval: time.Second,
+		})
+		Expect(with).To(BeNumerically(">", without+0.01))
+	})
+
 	It("answers as many in time as before where all are alike", func() {
 		for _, load := range []float64{0.6, 0.8} {
 			with, without, _ := timely(unevenPlay{share: load, speeds: alike(12), duration: 40 * time.Second, lifetime: 8 * time.Second, perFlow: 0.6})
