--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -61,6 +61,7 @@
 	holdersLearned bool // since the last tick
 	// deferred are searches that wait for a newer published state.
 	deferred    []currantturn.FlowKey
+	usual       map[currantturn.ServiceName]*usualTimes
 	peers       int       // other balancers that are alive
 	cold        []*target // whose agents are to be notified of the warm-up
 	sweepNumber int       // number of the last sweep of the flow table
@@ -102,6 +103,7 @@
 		rng:           rand.New(rand.NewPCG(opts.Seed, 11)),
 
 		queries:        make(map[netip.AddrPort]relay.Flows),
+		usual:          make(map[currantturn.ServiceName]*usualTimes),
 		learnedHolders: make(map[netip.AddrPort][]*target),
 		drains:         newDrains(),
 	}
@@ -183,6 +185,7 @@
 	p := newPlan(now, &s, b.opts.AgentPort, old)
 	b.plan.Store(p)
 	b.drains.update(now, old, p)
+	clear(b.usual)
 	b.updateLearned(p)
 	b.queueCold(now, p, old)
 	deferred := b.deferred
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -48,11 +48,12 @@
 func (b *Balancer) chooseAmong(
 	now time.Time, placeable []*target, flow currantturn.FlowKey, tried []currantturn.BackendID, out *currantturn.Effects,
 ) (*target, placement.Candidate) {
+	usual := b.usualTimes(now, placeable)
 	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
 		var targets []*target
 		var candidates []placement.Candidate
 		for _, t := range group {
-			c := t.candidate(now, b.opts.Domain)
+			c := t.candidate(now, b.opts.Domain, usual)
 			if slices.Contains(tried, t.entry.ID) || t.declines(now) || b.drains.learned(now, t.entry.FailureDomain) ||
 				c.Avoid && len(group) < len(placeable) {
 				continue
@@ -60,9 +61,9 @@
 			targets = append(targets, t)
 			candidates = append(candidates, c)
 		}
-		usual := placement.UsualServiceTime(candidates)
-		reportSpeedChanges(now, targets, candidates, usual, out)
-		if best := placement.Choose(b.rng, candidates, usual); best >= 0 {
+		usualTime := placement.UsualServiceTime(candidates)
+		reportSpeedChanges(now, targets, candidates, usualTime, out)
+		if best := placement.Choose(b.rng, candidates, usualTime); best >= 0 {
 			return targets[best], candidates[best]
 		}
 	}
@@ -110,7 +111,7 @@
 		if slow {
 			eventNumber = event.BackendSlow
 		}
-		out.Event(eventNumber, event.F("backend", t.entry.ID), event.F("service_time", c.ServiceTime),
-			event.F("usual", usual), event.F("age", t.loadSnapshot(now).age))
+		out.Event(eventNumber, event.F("backend", t.entry.ID), event.F("slowness", c.SlownessAgainst(usual)),
+			event.F("service_time", c.ServiceTime), event.F("usual", usual), event.F("age", t.loadSnapshot(now).age))
 	}
 }
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -133,7 +133,7 @@
 }
 
 // candidate returns the target in the form in which placement compares it.
-func (t *target) candidate(now time.Time, local currantturn.FailureDomain) placement.Candidate {
+func (t *target) candidate(now time.Time, local currantturn.FailureDomain, usual *usualTimes) placement.Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := placement.Candidate{
@@ -148,6 +148,11 @@
 	}
 	if now.Sub(t.reportedAt) < reportLifetime {
 		c.Running, c.Flows, c.ServiceTime = t.load.Running+t.load.Waiting, t.load.Flows, t.load.ServiceTime()
+		c.Slowness = usual.times.Slowness(t.load.Times)
+		c.Short = float64(t.load.Short-usual.short) / 100
+		if t.load.Limit > 0 {
+			c.Slots = min(c.Slots, t.load.Limit)
+		}
 	}
 	return c
 }
