capacity: count an answer where its request was in progress, lower the limit on proof only

Backend servers with a constant time of 20 ms got a limit below their slots: requests that begin together end together, the last answer counted for one request in progress without any time there, so few looked fast and many useless. Such loads are real (all callers return at once, answers that take a constant time), and no number of standard errors protects from a bias.

An answer now counts for the numbers during which its request was in progress. That needs two more things, since the estimate varies more: the limit falls only if the gain is three standard errors below a proportional one as well, and evidence that has aged to a standard error of 0.5 no longer holds a level back. Ruled out: two and three standard errors alone (two: 'rises again' fails; the bias stays). New spec with batches fails without it; all specs of the package hold with their bounds.

--- a/internal/coordination/capacity/concurrency.go
+++ b/internal/coordination/capacity/concurrency.go
@@ -19,6 +19,7 @@
 	inProgress  int
 	lastChange  time.Time
 	windowStart time.Time
+	spent       [maxLevels]float64      // seconds at each level since the start
 	window      [maxLevels]exposure     // by level, of the present window
 	splits      [maxLevels]splitAverage // compares the rates above and up to each level
 }
@@ -60,17 +61,28 @@
 // it is unknown.
 func (c *Concurrency) Slots() int { return c.slots }
 
-// Started counts a request that starts.
-func (c *Concurrency) Started(now time.Time) {
+// Run is a request in progress.
+type Run struct {
+	started time.Time
+	spent   [maxLevels]float64 // Concurrency.spent at its start
+}
+
+// Started counts a request that starts, and returns it.
+func (c *Concurrency) Started(now time.Time) Run {
 	c.advance(now)
 	c.inProgress++
+	return Run{started: now, spent: c.spent}
 }
 
-// Answered counts a request that ends with an answer.
-func (c *Concurrency) Answered(now time.Time) {
+// Answered counts a request that ends with an answer. The answer counts for the levels at
+// which the request was in progress, in proportion to the time: if requests start together
+// and end together, it is not the last one in progress that was fast.
+func (c *Concurrency) Answered(now time.Time, r *Run) {
 	c.advance(now)
-	if level, ok := c.levelInProgress(); ok {
-		c.window[level].answers++
+	if took := now.Sub(r.started).Seconds(); took > 0 {
+		for level := range c.levels() {
+			c.window[level].answers += max(c.spent[level]-r.spent[level], 0) / took
+		}
 	}
 	c.inProgress--
 }
@@ -131,6 +143,7 @@
 	if elapsed := now.Sub(c.lastChange).Seconds(); elapsed > 0 {
 		if level, ok := c.levelInProgress(); ok {
 			c.window[level].add(exposure{seconds: elapsed, work: elapsed * float64(c.inProgress)})
+			c.spent[level] += elapsed
 		}
 		c.lastChange = now
 	}
@@ -162,7 +175,7 @@
 
 // adjustLevel sets the level by the evidence.
 func (c *Concurrency) adjustLevel(top int) {
-	if c.level < top && c.splits[c.level].verdict() == gains {
+	if c.level < top && (c.splits[c.level].verdict() == gains || c.splits[c.level].forgotten()) {
 		c.level++
 	}
 	for level := range c.level {
@@ -248,7 +261,7 @@
 )
 
 // verdict compares the gain of the rate above the level with minGain of the gain in
-// proportion to the requests in progress.
+// proportion to the requests in progress, and with that gain itself.
 func (s *splitAverage) verdict() verdict {
 	if s.above <= 0 || s.below <= 0 {
 		return unclear
@@ -257,7 +270,7 @@
 	wanted := math.Log(1 + minGain*(proportional-1))
 	gain, margin := math.Log(s.above/s.below), confidence*s.standardError()
 	switch {
-	case gain+margin < wanted:
+	case gain+margin < wanted && gain+proportionalConfidence*s.standardError() < math.Log(proportional):
 		return gainsNothing
 	case gain-margin > wanted, gain > wanted && s.complete():
 		return gains
@@ -271,5 +284,10 @@
 	return math.Sqrt(s.variance / (s.above * s.below))
 }
 
+// forgotten reports whether too little evidence is left to keep a level unused.
+func (s *splitAverage) forgotten() bool {
+	return s.above <= 0 || s.below <= 0 || s.standardError() > maxError
+}
+
 // complete reports whether there is as much evidence as is kept.
 func (s *splitAverage) complete() bool { return s.standardError() <= minError }
--- a/internal/coordination/capacity/concurrency_test.go
+++ b/internal/coordination/capacity/concurrency_test.go
@@ -72,6 +72,25 @@
 		Entry("with many slots", 40, 0.8),
 	)
 
+	// Callers send requests together that all take the same time, such as after an outage.
+	It("stays at the slots when requests begin and end together", func() {
+		const slots = 3
+		var c capacity.Concurrency
+		c.SetSlots(slots)
+		now := time.Unix(1000, 0)
+		for i := range 3000 {
+			var runs []capacity.Run
+			for range 1 + i%slots {
+				runs = append(runs, c.Started(now))
+			}
+			now = now.Add(20 * time.Millisecond)
+			for n := range runs {
+				c.Answered(now, &runs[n])
+			}
+			Expect(c.Limit(now)).To(Equal(slots), "after %d batches", i)
+		}
+	})
+
 	It("stays at the slots through a spell in which all requests take five times as long", func() {
 		slowness := during(10*time.Second, 15*time.Second, 0.2, 1)
 		p := play{slots: 3, kinds: steady(0.6, 3), duration: 30 * time.Second, speed: func(at time.Duration, n int) float64 {
@@ -153,14 +172,21 @@
 		slots := rapid.IntRange(1, 64).Draw(t, "slots")
 		c.SetSlots(slots)
 		now := time.Unix(1000, 0)
+		var runs []capacity.Run
+		end := func() (r capacity.Run) {
+			r, runs = runs[0], runs[1:]
+			return r
+		}
 		for range rapid.IntRange(0, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(-5, 400).Draw(t, "pause")) * time.Millisecond)
 			switch {
 			case c.InProgress() == 0 || rapid.Bool().Draw(t, "starts"):
-				c.Started(now)
+				runs = append(runs, c.Started(now))
 			case rapid.Bool().Draw(t, "answered"):
-				c.Answered(now)
+				r := end()
+				c.Answered(now, &r)
 			default:
+				end()
 				c.Dropped(now)
 			}
 			if limit := c.Limit(now); limit < 1 || limit > slots {
@@ -169,6 +195,7 @@
 		}
 		// Whatever it was, it ends at the slots when these have answered in proportion.
 		for c.InProgress() > 0 {
+			end()
 			c.Dropped(now)
 		}
 		rng := rand.New(rand.NewPCG(1, 1))
@@ -179,14 +206,16 @@
 				n = rng.IntN(c.Limit(now) + 1)
 			}
 			for c.InProgress() < n {
-				c.Started(now)
+				runs = append(runs, c.Started(now))
 			}
 			for c.InProgress() > n {
+				end()
 				c.Dropped(now)
 			}
 			for range n { // each takes 10 ms
-				c.Answered(now)
-				c.Started(now)
+				r := end()
+				c.Answered(now, &r)
+				runs = append(runs, c.Started(now))
 			}
 		}
 		if limit := c.Limit(now); limit < slots {
--- a/internal/coordination/capacity/constants.go
+++ b/internal/coordination/capacity/constants.go
@@ -41,9 +41,15 @@
 	// confidence is the number of standard errors by which the gain must differ from
 	// minGain. A backend server whose slots do not disturb each other lies far above it.
 	confidence = 1
+	// proportionalConfidence is the number of standard errors by which the gain must lie
+	// below a proportional one before slots count as useless: the limit of a backend server
+	// whose slots do not disturb each other is not lowered by chance.
+	proportionalConfidence = 3
 	// minError is the smallest standard error of the logarithm of a ratio of rates. More
 	// evidence displaces older evidence, so that the estimate can change within seconds.
 	minError = 0.12
+	// maxError is the standard error from which the evidence has aged too much to count.
+	maxError = 0.5
 	// probeAfter is the number of windows with busy slots after which fewer are tried:
 	// longer than a burst. A probe takes at most probeWindows, and the next one follows
 	// after probePause windows more.
--- a/internal/coordination/capacity/play_test.go
+++ b/internal/coordination/capacity/play_test.go
@@ -38,6 +38,7 @@
 	kind             capacity.Kind
 	arrived, started time.Duration
 	work             float64 // seconds left
+	run              capacity.Run
 }
 
 const (
@@ -81,10 +82,9 @@
 			waiting = waiting[1:]
 		}
 		for len(waiting) > 0 && len(inProgress) < limit {
-			waiting[0].started = at
+			waiting[0].started, waiting[0].run = at, c.Started(now)
 			inProgress = append(inProgress, waiting[0])
 			waiting = waiting[1:]
-			c.Started(now)
 		}
 		if n := len(inProgress); n > 0 {
 			share := p.speed(at, n) / float64(n) * step.Seconds()
@@ -96,7 +96,7 @@
 			if r.work > 0 {
 				return false
 			}
-			c.Answered(now)
+			c.Answered(now.Add(step), &r.run)
 			times.Record(now, r.kind, at+step-r.started)
 			took = append(took, at+step-r.arrived)
 			return true
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -66,7 +66,7 @@
 	}
 	if p.DataSize > 0 && !r.requestStarted.IsZero() {
 		a.serviceTimes.Record(now.Sub(r.requestStarted))
-		a.tracker.requestAnswered(now, kindOf(p.Flow), r.requestStarted)
+		a.tracker.requestAnswered(now, p.Flow, r.requestStarted)
 		a.recordProgress(now)
 		r.requestStarted = time.Time{}
 	}
@@ -137,7 +137,7 @@
 		a.mu.Unlock()
 	}
 	if !r.requestStarted.IsZero() {
-		a.tracker.requestDropped(now, kindOf(flow), r.requestStarted)
+		a.tracker.requestDropped(now, flow, r.requestStarted)
 		r.requestStarted = time.Time{}
 	}
 	if r.progress == open {
@@ -149,7 +149,7 @@
 // requestTimeout.
 func (a *Agent) expireRequest(now time.Time, flow currantturn.FlowKey, r *flowRecord) {
 	if !r.requestStarted.IsZero() && now.Sub(r.requestStarted) > requestTimeout {
-		a.tracker.requestDropped(now, kindOf(flow), r.requestStarted)
+		a.tracker.requestDropped(now, flow, r.requestStarted)
 		r.requestStarted = time.Time{}
 	}
 }
--- a/internal/coordination/flowagent/load.go
+++ b/internal/coordination/flowagent/load.go
@@ -15,14 +15,15 @@
 type loadTracker struct {
 	mu              sync.Mutex
 	concurrency     capacity.Concurrency // requests in progress
-	times           capacity.Times       // of requests that did not wait in the backend server's own queue
-	openFlows       int                  // open flows
-	meanServiceTime float64              // moving average of the time to an answer, in nanoseconds
-	lastAnswer      time.Time            // when the last answer arrived
-	lastOverSlots   time.Time            // when more requests than slots were last in progress
-	reportedTimes   relay.KindTimes      // times in the form of reports
-	reportedShort   int                  // share of answers that came far too early, in percent
-	timesAt         time.Time            // when reportedTimes was set
+	runs            map[currantturn.FlowKey]capacity.Run
+	times           capacity.Times  // of requests that did not wait in the backend server's own queue
+	openFlows       int             // open flows
+	meanServiceTime float64         // moving average of the time to an answer, in nanoseconds
+	lastAnswer      time.Time       // when the last answer arrived
+	lastOverSlots   time.Time       // when more requests than slots were last in progress
+	reportedTimes   relay.KindTimes // times in the form of reports
+	reportedShort   int             // share of answers that came far too early, in percent
+	timesAt         time.Time       // when reportedTimes was set
 }
 
 // kindOf returns the kind of a flow's requests: a hash of the address of their route,
@@ -67,41 +68,48 @@
 }
 
 // requestStarted counts a request that starts.
-func (t *loadTracker) requestStarted(now time.Time) {
+func (t *loadTracker) requestStarted(now time.Time, flow currantturn.FlowKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.concurrency.Started(now)
+	if t.runs == nil {
+		t.runs = make(map[currantturn.FlowKey]capacity.Run)
+	}
+	t.runs[flow] = t.concurrency.Started(now)
 	if t.concurrency.InProgress() > t.concurrency.Slots() {
 		t.lastOverSlots = now
 	}
 }
 
 // requestCanceled counts a request that is not delivered after all.
-func (t *loadTracker) requestCanceled(now time.Time) {
+func (t *loadTracker) requestCanceled(now time.Time, flow currantturn.FlowKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.concurrency.Dropped(now)
+	delete(t.runs, flow)
 }
 
 // requestDropped counts a request that ends without an answer.
-func (t *loadTracker) requestDropped(now time.Time, kind capacity.Kind, started time.Time) {
+func (t *loadTracker) requestDropped(now time.Time, flow currantturn.FlowKey, started time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.concurrency.Dropped(now)
+	delete(t.runs, flow)
 	if started.After(t.lastOverSlots) {
-		t.times.RecordUnanswered(now, kind, now.Sub(started))
+		t.times.RecordUnanswered(now, kindOf(flow), now.Sub(started))
 	}
 }
 
 // requestAnswered counts a request that ends with an answer and records the time
 // that it took.
-func (t *loadTracker) requestAnswered(now time.Time, kind capacity.Kind, started time.Time) {
+func (t *loadTracker) requestAnswered(now time.Time, flow currantturn.FlowKey, started time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.concurrency.Answered(now)
+	run := t.runs[flow]
+	t.concurrency.Answered(now, &run)
+	delete(t.runs, flow)
 	serviceTime := now.Sub(started)
 	if started.After(t.lastOverSlots) {
-		t.times.Record(now, kind, serviceTime)
+		t.times.Record(now, kindOf(flow), serviceTime)
 	}
 	if t.meanServiceTime == 0 || now.Sub(t.lastAnswer) > serviceTimeLifetime {
 		t.meanServiceTime = float64(serviceTime)
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -43,7 +43,7 @@
 	if attemptStarted.IsZero() || in.now.Sub(r.openingSent) > maxFirstRequestDelay {
 		attemptStarted = in.now
 	}
-	if !a.startIfSlotFree(in.now, in.demand.Slots) && a.queueRequest(in, attemptStarted) {
+	if !a.startIfSlotFree(in.now, in.packet.Flow, in.demand.Slots) && a.queueRequest(in, attemptStarted) {
 		r.balancer = in.from
 		a.storePacket(r, in.packet)
 		return
@@ -55,7 +55,7 @@
 
 // startIfSlotFree takes a slot if one is free and no request is waiting; slots is their
 // number, 0 if the packet does not tell it. With an unknown number it always succeeds.
-func (a *Agent) startIfSlotFree(now time.Time, slots int) bool {
+func (a *Agent) startIfSlotFree(now time.Time, flow currantturn.FlowKey, slots int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slots > 0 {
@@ -64,7 +64,7 @@
 	if a.backlog.Len() > 0 || !a.tracker.hasRoom(now) {
 		return false
 	}
-	a.tracker.requestStarted(now)
+	a.tracker.requestStarted(now, flow)
 	a.lastProgress = now
 	return true
 }
@@ -78,7 +78,7 @@
 		a.counts.waited.Add(1)
 		return true
 	}
-	a.tracker.requestStarted(in.now)
+	a.tracker.requestStarted(in.now, in.packet.Flow)
 	return false
 }
 
@@ -114,14 +114,14 @@
 		if !found {
 			break
 		}
-		a.tracker.requestStarted(now)
+		a.tracker.requestStarted(now, next.Flow)
 		a.lastProgress = now
 		ready = append(ready, next)
 	}
 	if a.backlog.Stalled(now.Sub(a.lastProgress)) {
 		// What holds the slots may be lost or hang, while others would be answered.
 		if next, found := a.backlog.Pop(now, serviceTime); found {
-			a.tracker.requestStarted(now)
+			a.tracker.requestStarted(now, next.Flow)
 			a.lastProgress = now
 			ready = append(ready, next)
 		}
@@ -146,7 +146,7 @@
 func (a *Agent) runQueuedRequest(now time.Time, request *backlog.Request, waiting int, out *currantturn.Effects) (delivered bool) {
 	a.flows.Update(request.Flow, func(r *flowRecord) *flowRecord {
 		if r == nil || r.storedPackets == nil {
-			a.tracker.requestCanceled(now)
+			a.tracker.requestCanceled(now, request.Flow)
 			return r
 		}
 		delivered = true
--- a/internal/coordination/flowagent/stop.go
+++ b/internal/coordination/flowagent/stop.go
@@ -25,8 +25,8 @@
 func (a *Agent) ReleaseAll(now time.Time, out *currantturn.Effects) {
 	a.mu.Lock()
 	waiting := a.backlog.RemoveAll()
-	for range waiting {
-		a.tracker.requestStarted(now)
+	for i := range waiting {
+		a.tracker.requestStarted(now, waiting[i].Flow)
 	}
 	a.mu.Unlock()
 	for i := range waiting {
