--- a/internal/protocol/seal/seal_test.go
+++ b/internal/protocol/seal/seal_test.go
@@ -244,6 +244,22 @@
 		Expect(err).To(MatchError(currantturn.ErrReplayed), "replays stay rejected when a removed key is valid again")
 	})
 
+	// A key is withdrawn because others may have it; whatever was sealed with it, before or
+	// after, is worth nothing, also to a process that never saw the withdrawal.
+	It("rejects a withdrawn key after a restart of the receiver, of the sender and of both", func() {
+		before := sender.Seal(nil, payload)
+		for _, seed := range []uint64{7, 8} {
+			c.now = c.now.Add(time.Millisecond)
+			receiver = newSealer(c, ring(2, 2), seed)
+			for _, p := range [][]byte{before, sender.Seal(nil, payload), newSealer(c, ring(1, 1), seed+10).Seal(nil, payload), newSealer(c, ring(1, 1, 2), seed+20).Seal(nil, payload)} {
+				_, err := receiver.Open(c.now, p)
+				Expect(err).To(MatchError(currantturn.ErrUnauthenticated))
+			}
+			Expect(receiver.Counters()).To(HaveField("UnknownKey", uint64(4)))
+			Expect(receiver.Open(c.now, newSealer(c, ring(2, 1, 2), seed+30).Seal(nil, payload))).To(Equal(payload))
+		}
+	})
+
 	It("rejects another fleet's secret under the same ID", func() {
 		other := seal.Ring{Active: 1, Keys: []seal.Key{{ID: 1, Secret: [seal.SecretBytes]byte{9}}}}
 		_, err := receiver.Open(c.now, newSealer(c, other, 6).Seal(nil, payload))
--- a/internal/transport/identity/identity_test.go
+++ b/internal/transport/identity/identity_test.go
@@ -74,9 +74,25 @@
 	Expect(os.WriteFile(p.files.Authorities, b, 0o600)).To(Succeed())
 }
 
-// handshake connects a client and a server in memory and returns the error of each.
+// connect returns the two ends of a connection, which unlike a pipe lets both ends write at
+// the same time.
+func connect() (net.Conn, net.Conn) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	a, err := net.Dial("tcp4", l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	b, err := l.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	for _, c := range []net.Conn{a, b} {
+		Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	}
+	return a, b
+}
+
+// handshake connects a client and a server and returns the error of each.
 func handshake(client, server *tls.Config) (error, error) {
-	a, b := net.Pipe()
+	a, b := connect()
 	defer func() { _ = a.Close() }()
 	result := make(chan error, 1)
 	go func() {
@@ -201,6 +217,43 @@
 		Expect(err).To(MatchError(ContainSubstring("unknown authority")))
 	})
 
+	// A peer that keeps the session of an earlier connection presents no certificate again.
+	DescribeTable("refuses a peer whose authority was withdrawn, with or without a session of before", func(restart, session bool) {
+		old, next := fleetCA, newAuthority()
+		client := vm1.ClientTLS(anyRole)
+		if session {
+			client.ClientSessionCache = tls.NewLRUClientSessionCache(4)
+			client.ServerName = "vm-7" // the key of the cache
+		}
+		server := serverTLS(anyRole)
+		expectHandshake(client, server)
+		if session {
+			_, found := client.ClientSessionCache.Get(client.ServerName)
+			Expect(found).To(BeTrue())
+		}
+		vm7.writeFiles(next, agent)
+		vm7.setAuthorities(next)
+		vm1.setAuthorities(old, next)
+		Expect(vm1.Reload()).To(Succeed())
+		if restart {
+			var err error
+			vm7.Identity, err = identity.Open(vm7.files, func() time.Time { return start }, func(currantturn.Event) {})
+			Expect(err).NotTo(HaveOccurred())
+			server = serverTLS(anyRole)
+		} else {
+			Expect(vm7.Reload()).To(Succeed())
+		}
+		for range 3 {
+			_, err := handshake(client, server)
+			Expect(err).To(MatchError(ContainSubstring("unknown authority")))
+		}
+	},
+		Entry("until the next reload", false, false),
+		Entry("until the next reload, with a session", false, true),
+		Entry("before a restart", true, false),
+		Entry("before a restart, with a session", true, true),
+	)
+
 	DescribeTable("keeps the earlier credentials when the files are invalid", func(corrupt func()) {
 		client, server := vm1.ClientTLS(anyRole), serverTLS(anyRole)
 		corrupt()
