--- a/internal/coordination/backlog/backlog.go
+++ b/internal/coordination/backlog/backlog.go
@@ -25,15 +25,10 @@
 	return r.Demand.Timeout > 0 && now.Sub(r.AttemptStarted) >= r.Demand.Timeout
 }
 
-// overdue reports whether only the last part of the request's timeout is left.
-func (r *Request) overdue(now time.Time) bool {
-	return r.Demand.Timeout > 0 && now.Sub(r.AttemptStarted) >= r.Demand.Timeout-r.Demand.Timeout/overdueDivisor
-}
-
 // Backlog is a bounded set of waiting requests. It is not safe for concurrent use.
 type Backlog struct {
-	waiting         []Request // in order of arrival at the agent
-	timelySinceLate int       // timely requests released since the last late one
+	waiting []Request // in order of arrival at the agent
+	shares  shares    // since the backlog was last empty
 }
 
 // Len returns the number of waiting requests.
@@ -71,55 +66,59 @@
 	b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
 }
 
-// RemoveDue removes and returns the requests that must not wait any longer:
-// expired ones, which must not run, and overdue ones, which are to be delivered
-// at once. The agent can't refuse a request on an open flow, but the backend
-// server can run an overdue one or truthfully refuse it while its caller still
-// waits.
-func (b *Backlog) RemoveDue(now time.Time) (expired, overdue []Request) {
+// RemoveExpired removes and returns the requests whose timeout has passed.
+func (b *Backlog) RemoveExpired(now time.Time) (expired []Request) {
 	kept := b.waiting[:0]
-	for _, r := range b.waiting {
-		switch {
-		case r.expired(now):
-			expired = append(expired, r)
-		case r.overdue(now):
-			overdue = append(overdue, r)
-		default:
-			kept = append(kept, r)
+	for i := range b.waiting {
+		if b.waiting[i].expired(now) {
+			expired = append(expired, b.waiting[i])
+			continue
 		}
+		kept = append(kept, b.waiting[i])
 	}
 	b.waiting = kept
-	return expired, overdue
+	return expired
 }
 
-// Pop removes and returns the request to run next when a slot is free. Requests
-// that can still be answered in time come first, by priority and then by
-// arrival; late ones get the remaining slots, and at least one in lateInterval.
-// After an outage, when all callers return at once, plain order of arrival would
-// make every request late until the backlog is empty.
-func (b *Backlog) Pop(now time.Time, expected time.Duration) (Request, bool) {
-	timely, late := -1, -1
+// Stalled reports whether a request waits whose objective is shorter than the time
+// that the backend server has answered nothing.
+func (b *Backlog) Stalled(unanswered time.Duration) bool {
 	for i := range b.waiting {
-		best := &timely
-		if b.waiting[i].missesObjective(now, expected) {
-			best = &late
+		if objective := b.waiting[i].Demand.LatencyObjective; objective > 0 && unanswered >= objective {
+			return true
 		}
-		if *best < 0 || b.waiting[i].Demand.Priority < b.waiting[*best].Demand.Priority {
-			*best = i
-		}
-	}
-	index := timely
-	if timely < 0 || late >= 0 && b.timelySinceLate >= lateInterval-1 {
-		index = late
 	}
-	if index < 0 {
+	return false
+}
+
+// Pop removes and returns the request to run next when a slot is free. Requests that
+// can still be answered in time come first; late ones get the slots that no timely one
+// waits for. If late ones took slots from timely ones, a load above the capacity would
+// soon make all of them late. Among each of the two, kinds of requests share the slots by
+// their priority, and the callers of a kind equally; then arrival decides.
+func (b *Backlog) Pop(now time.Time, expected time.Duration) (Request, bool) {
+	index, found := b.next(now, expected)
+	if !found {
 		return Request{}, false
 	}
-	b.timelySinceLate++
-	if index == late {
-		b.timelySinceLate = 0
-	}
 	r := b.waiting[index]
 	b.removeAt(index)
+	b.shares.charge(&r)
+	if len(b.waiting) == 0 {
+		b.shares = shares{}
+	}
 	return r, true
 }
+
+// next returns the index of the request to run next.
+func (b *Backlog) next(now time.Time, expected time.Duration) (index int, found bool) {
+	var first position
+	for i := range b.waiting {
+		r := &b.waiting[i]
+		p := b.shares.position(r, r.missesObjective(now, expected))
+		if !found || p.before(first) {
+			index, found, first = i, true, p
+		}
+	}
+	return index, found
+}
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -27,6 +27,10 @@
 	// requestTimeout is how long an unanswered request occupies a slot: several
 	// times the duration of the longest kind of request, for a slowed backend server.
 	requestTimeout = 2 * time.Second
+	// maxFirstRequestDelay is how long after the opening packet the first request of a
+	// flow may arrive to belong to the attempt that opened it: two retransmissions of a
+	// caller. Callers also keep flows open that they have not used yet.
+	maxFirstRequestDelay = 600 * time.Millisecond
 	// maxStoredPackets limits the packets stored for one waiting request; callers
 	// have at most 16 in flight.
 	maxStoredPackets = 16
@@ -50,6 +54,10 @@
 	// which doubles.
 	minAnnounceInterval = 200 * time.Millisecond
 	maxAnnounceInterval = 10 * time.Second
+	// drainLifetime is how long a balancer's notice holds that the failure domain is drained,
+	// unless it is repeated: no balancer may be left that would take it back. Balancers
+	// repeat it each second, and all of them may be restarting.
+	drainLifetime = time.Minute
 	// serviceTimeWeight is the weight of a new sample in the moving average of
 	// service times.
 	serviceTimeWeight = 0.05
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -14,6 +14,8 @@
 	StoreLeftToOthers      = 809
 	AgentsAnnounced        = 810
 	StoreRestored          = 811
+	DomainDrained          = 812
+	DomainRestored         = 813
 )
 
 var stateSyncDefinitions = []Definition{
@@ -22,10 +24,12 @@
 	{RoutingInForce, "routing_in_force", Info, "published configuration is in force", fields("version routes")},
 	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state era revision")},
 	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; if not trusted, it may have lapsed during a store outage and come back", fields("backend era revision trusted")},
-	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed", fields("key error")},
+	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed, an order to drain a failure domain holds by its key alone", fields("key error")},
 	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer era revision version")},
 	{StoreWatched, "store_watched", Info, "balancer watches the store: too few live balancers rank ahead of it by link capacity", fields("peers age")},
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
 	{StoreRestored, "store_restored", Warning, "store returned from a copy: its revisions are given out again, and what it says is compared with what was known", fields("era earlier revision age")},
 	{AgentsAnnounced, "agents_announced", Warning, "nothing is published yet; flows are searched for among agents that announced themselves, and new ones go only to agents that hold flows of their address", fields("agents")},
+	{DomainDrained, "domain_drained", Info, "operator drains a failure domain: its backend servers get no new flows; without backend servers the order has no effect", fields("domain servers era revision")},
+	{DomainRestored, "domain_restored", Info, "operator has taken a failure domain back: its backend servers get new flows again", fields("domain servers era revision")},
 }
