Soak: drained failure domains, slow and grey backend servers, bursts, other writers' entries

The guarantee "evacuate" is checked at arrival: no opening packet of a new flow reaches a drained failure domain's backend server later than the bound, unless the store, the balancer or the agent was disturbed. A backend server that starts again under its ID begins its sequence anew. Failure domains have backend servers of all services.

Changed check: "contains every kind of fault" counts the new kinds too.

--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -44,6 +44,8 @@
 		r.operator.configure(time.Now())
 	case RestoreStore:
 		r.restoreStore(ctx, f)
+	case DrainDomain, SlowBackend, GreyBackend, Burst, ForeignEntry:
+		r.applyLater(ctx, f)
 	}
 	return nil
 }
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -18,6 +18,7 @@
 	vm            int    // index of the VM
 	service       int
 	started       time.Time
+	sequence      uint64    // of its last registration
 	drainingSince time.Time // when the store acknowledged the draining state, else zero
 }
 
@@ -46,6 +47,15 @@
 	conn    *net.UDPConn
 	flows   map[flowID]*hostedFlow
 	slots   chan struct{}
+	slow    int    // active faults that slow it down
+	grey    string // how it fails part of its requests; empty if it does not
+}
+
+// change changes the behaviour of the backend server on the VM.
+func (vm *backendVM) change(f func(vm *backendVM)) {
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	f(vm)
 }
 
 func newBackendVM(n *network, index int, seed uint64, c *checker) *backendVM {
@@ -165,6 +175,16 @@
 		f.lastAnswer = nil
 		vm.checker.checkExecution(now, p.Data, b)
 		work := minWork + time.Duration(vm.rng.Int64N(int64(maxWork-minWork)))
+		if vm.slow > 0 {
+			work *= slowFactor
+		}
+		if vm.grey != "" && vm.rng.Float64() < greyShare {
+			if vm.grey == greyReset {
+				delete(vm.flows, id)
+				vm.send(conn, platformtest.Packet{From: id.service, To: id.caller, Flags: platformtest.Reset, Sequence: f.nextSequence})
+			}
+			return
+		}
 		go vm.processRequest(b, conn, id, f, p.Data, work, vm.slots)
 	case f.lastAnswer != nil:
 		sendDatagram(conn, vm.net.address(agentNet, vm.index, outboundPort), f.lastAnswer)
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -60,6 +60,7 @@
 	shownVersions map[string]shownVersion // by "balancer/incarnation"
 	incarnationOf func(int) int           // current incarnation of a balancer
 	counts        map[string]uint64       // events by description
+	drains        map[string]time.Time    // when the store acknowledged that a failure domain is drained; zero before that
 }
 
 // shownVersion is the newest version that a balancer has applied, as far as its
@@ -73,10 +74,35 @@
 	return &checker{
 		disturbances: make(map[subject]*disturbance), flows: make(map[flowID]*flowTrack),
 		executions: make(map[string]int), shownVersions: make(map[string]shownVersion), counts: make(map[string]uint64),
-		incarnationOf: incarnation,
+		incarnationOf: incarnation, drains: make(map[string]time.Time),
 	}
 }
 
+// beginDrain records that a failure domain is to be drained. It returns false if it is.
+func (c *checker) beginDrain(domain string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, found := c.drains[domain]
+	if !found {
+		c.drains[domain] = time.Time{}
+	}
+	return !found
+}
+
+// recordDrained records that the store has acknowledged the order to drain it.
+func (c *checker) recordDrained(now time.Time, domain string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drains[domain] = now
+}
+
+// endDrain records that the order is about to be taken back.
+func (c *checker) endDrain(domain string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.drains, domain)
+}
+
 // reportLocked records a violation of the named guarantee.
 func (c *checker) reportLocked(now time.Time, guarantee, format string, args ...any) {
 	c.violations = append(c.violations, now.Format("15:04:05.000 ")+guarantee+": "+fmt.Sprintf(format, args...))
@@ -166,6 +192,10 @@
 	if !b.drainingSince.IsZero() && t.firstSent.After(b.drainingSince.Add(drainWithin)) && undisturbed {
 		c.reportLocked(now, "drain", "%s received a new flow %s after the store acknowledged that it is draining", b.id, now.Sub(b.drainingSince))
 	}
+	drained := c.drains[failureDomain(b.vm)]
+	if !drained.IsZero() && now.After(drained.Add(drainWithin)) && undisturbed && c.undisturbedLocked(now, backendSubject(b.vm)) {
+		c.reportLocked(now, "evacuate", "%s received a new flow %s after the store acknowledged that %s is drained", b.id, now.Sub(drained), failureDomain(b.vm))
+	}
 	c.checkVersionLocked(now, id, t, b, undisturbed)
 }
 
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -93,6 +93,18 @@
 			c.recordSent(start, id, 0)
 			c.checkPlacement(start, id, &instance{id: "i-3", drainingSince: start.Add(-drainWithin - time.Millisecond)})
 		}),
+		Entry("a backend server of a drained failure domain receives a new flow after drainWithin", "evacuate", storeSubject, func() {
+			c.beginDrain(failureDomain(b.vm))
+			c.recordDrained(start.Add(-drainWithin-time.Millisecond), failureDomain(b.vm))
+			c.recordSent(start, id, 0)
+			c.checkPlacement(start, id, b)
+		}),
+		Entry("the same behind an undisturbed agent", "evacuate", backendSubject(1), func() {
+			c.beginDrain(failureDomain(b.vm))
+			c.recordDrained(start.Add(-drainWithin-time.Millisecond), failureDomain(b.vm))
+			c.recordSent(start, id, 0)
+			c.checkPlacement(start, id, b)
+		}),
 		Entry("a request is executed twice", "once", subject(""), func() {
 			c.checkExecution(start, "r", b)
 			c.checkExecution(start, "r", b)
@@ -102,6 +114,12 @@
 	)
 
 	It("does not report what may be correct", func() {
+		c.beginDrain(failureDomain(b.vm))
+		c.recordDrained(start.Add(-drainWithin), failureDomain(b.vm))
+		Expect(c.beginDrain(failureDomain(b.vm))).To(BeFalse())
+		c.recordSent(start, flowID{caller: id.caller, service: fixedService}, 0)
+		c.checkPlacement(start, flowID{caller: id.caller, service: fixedService}, b) // within the bound
+		c.endDrain(failureDomain(b.vm))
 		addVersion(2, start, 1)
 		c.recordSent(start.Add(applyWithin-time.Millisecond), id, 0) // before version 2 must be in force
 		c.checkPlacement(start.Add(applyWithin+time.Second), id, b)
@@ -142,7 +160,7 @@
 				seen[f.Kind] = true
 			}
 		}
-		Expect(seen).To(HaveLen(len(kindWeights)+1), "the weighted kinds and RestoreStore")
+		Expect(seen).To(HaveLen(len(kindWeights)+1+len(laterKinds)), "the weighted kinds, RestoreStore and the later ones")
 	})
 })
 
--- a/internal/soak/constants.go
+++ b/internal/soak/constants.go
@@ -55,6 +55,14 @@
 	startTimeout = 20 * time.Second
 	// faultInterval is the mean time between the starts of successive faults.
 	faultInterval = 700 * time.Millisecond
+	// laterInterval is the same for the kinds in laterKinds.
+	laterInterval = 1500 * time.Millisecond
+	// slowFactor, greyShare and burstFactor are the extent of these faults.
+	slowFactor  = 8
+	greyShare   = 0.3
+	burstFactor = 3
+	// foreignPageItems exceeds a page of the store.
+	foreignPageItems = 600
 	// restoreInterval is the mean time between the store's returns from a copy.
 	restoreInterval = 6 * time.Second
 	// maxCopyAge is the greatest age of such a copy; maxRestoreOutage is the longest time
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -33,6 +33,11 @@
 	ReuseBackend  Kind = "reuse_backend"  // a backend server is drained; one of another service takes its address
 	Configure     Kind = "configure"      // a new version routes new flows to another service
 	RestoreStore  Kind = "restore_store"  // the store returns from a copy as old as the fault's duration
+	DrainDomain   Kind = "drain_domain"   // the operator drains the failure domain of an agent
+	SlowBackend   Kind = "slow_backend"   // a backend server takes slowFactor times as long
+	GreyBackend   Kind = "grey_backend"   // a backend server fails part of its requests, as the variant says
+	Burst         Kind = "burst"          // callers open burstFactor times as many flows
+	ForeignEntry  Kind = "foreign_entry"  // another writer writes entries, named by the variant
 )
 
 // kindWeights are the relative frequencies of the kinds.
@@ -99,6 +104,7 @@
 		all = append(all, f)
 	}
 	all = append(all, scheduleRestores(seed, within)...)
+	all = append(all, scheduleLater(seed, within, agents)...)
 	slices.SortStableFunc(all, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return all
 }
@@ -119,6 +125,28 @@
 	}
 }
 
+// laterKinds are the kinds that scheduleLater chooses among.
+var laterKinds = []Kind{DrainDomain, SlowBackend, GreyBackend, Burst, ForeignEntry}
+
+// scheduleLater returns the faults of laterKinds, which have random numbers of their own for
+// the same reason. A failure domain is drained for long enough to check the bound.
+func scheduleLater(seed uint64, within time.Duration, agents int) (all []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 19))
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.Int64N(int64(2 * laterInterval)))
+		if at >= within {
+			return all
+		}
+		f := Fault{At: at, Agent: rng.IntN(agents), Kind: laterKinds[rng.IntN(len(laterKinds))]}
+		f.Duration = min(100*time.Millisecond+time.Duration(rng.Int64N(int64(maxFaultDuration))), within-at)
+		if f.Kind == DrainDomain {
+			f.Duration = min(f.Duration+drainWithin, within-at)
+		}
+		f.Variant = chooseVariant(f.Kind, rng)
+		all = append(all, f)
+	}
+}
+
 // chooseVariant returns the empty string for kinds without variants.
 func chooseVariant(k Kind, rng *rand.Rand) string {
 	pick := func(all ...string) string { return all[rng.IntN(len(all))] }
@@ -129,6 +157,10 @@
 		return pick(string(resetConnections), string(silenceBoth), string(silenceAnswers), string(delayAnswers))
 	case CrashBackend:
 		return pick("same_id", "new_id")
+	case GreyBackend:
+		return pick(greyHang, greyReset)
+	case ForeignEntry:
+		return pick(foreignBytes, foreignPage, foreignService, foreignOver)
 	}
 	return ""
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -22,8 +22,7 @@
 	mu         sync.Mutex
 	version    uint64 // of the current configuration
 	current    platformtest.Configuration
-	sequence   uint64 // of the last registration
-	lastSerial int    // number of the last instance
+	lastSerial int // number of the last instance
 }
 
 // Addresses of services. New flows to reroutedService go to another service with each
@@ -73,8 +72,8 @@
 
 func (o *operator) register(b *instance, state string) {
 	o.mu.Lock()
-	o.sequence++
-	sequence := o.sequence
+	b.sequence++
+	sequence := b.sequence
 	o.mu.Unlock()
 	o.store.Register(b.id, platformtest.Registration{
 		Service: serviceName(b.service), Address: o.net.address(agentProxyNet, b.vm, backendPort).String(),
@@ -82,7 +81,8 @@
 	})
 }
 
-func failureDomain(i int) string { return fmt.Sprintf("domain%d", i%3) }
+// failureDomain returns the failure domain of a VM. Each has backend servers of all services.
+func failureDomain(i int) string { return fmt.Sprintf("domain%d", i/serviceCount%3) }
 
 // crashBackend stops a backend server without notice and starts another after the
 // fault's duration, under the same ID or a new one.
