--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -58,7 +58,7 @@
 func (t *testAgent) route(from netip.AddrPort, intent currantturn.Intent, flags byte, seq, acked uint32, data int) {
 	GinkgoHelper()
 	t.out.Reset()
-	e := currantturn.Envelope{Direction: currantturn.ToBackend, Intent: intent, Service: "verify", Demand: demand}
+	e := currantturn.Envelope{Direction: currantturn.ToBackend, Intent: intent, Service: "verify", Demand: demand, ReadsLoads: intent == currantturn.IntentPlace}
 	Expect(platform.Packets{}.Decode(packet(from, service, flags, seq, acked, data), currantturn.ToBackend, &e.Packet)).To(Succeed())
 	t.agent.Route(t.now, balancer, &e, &t.out)
 }
@@ -481,7 +481,7 @@
 			reports += n
 		}
 		Expect(reportsTo).To(HaveLen(balancers + 1))
-		Expect(reports).To(BeNumerically("<=", 75*seconds+64)) // reportsPerSecond, and a burst of maxBalancers
+		Expect(reports).To(BeNumerically("<=", 65*seconds+64)) // reportsPerSecond, and a burst of maxBalancers
 	})
 })
 
--- a/internal/coordination/flowagent/request.go
+++ b/internal/coordination/flowagent/request.go
@@ -59,12 +59,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slots > 0 {
-		a.slots = slots
+		a.tracker.setSlots(slots)
 	}
-	if a.slots > 0 && (a.backlog.Len() > 0 || a.tracker.inProgress() >= a.slots) {
+	if a.backlog.Len() > 0 || !a.tracker.hasRoom(now) {
 		return false
 	}
-	a.tracker.requestStarted()
+	a.tracker.requestStarted(now)
 	a.lastProgress = now
 	return true
 }
@@ -78,7 +78,7 @@
 		a.counts.waited.Add(1)
 		return true
 	}
-	a.tracker.requestStarted()
+	a.tracker.requestStarted(in.now)
 	return false
 }
 
@@ -109,19 +109,19 @@
 	serviceTime := a.tracker.expectedServiceTime()
 	expired := a.backlog.RemoveExpired(now)
 	var ready []backlog.Request
-	for a.slots == 0 || a.tracker.inProgress() < a.slots {
+	for a.tracker.hasRoom(now) {
 		next, found := a.backlog.Pop(now, serviceTime)
 		if !found {
 			break
 		}
-		a.tracker.requestStarted()
+		a.tracker.requestStarted(now)
 		a.lastProgress = now
 		ready = append(ready, next)
 	}
 	if a.backlog.Stalled(now.Sub(a.lastProgress)) {
 		// What holds the slots may be lost or hang, while others would be answered.
 		if next, found := a.backlog.Pop(now, serviceTime); found {
-			a.tracker.requestStarted()
+			a.tracker.requestStarted(now)
 			a.lastProgress = now
 			ready = append(ready, next)
 		}
@@ -146,7 +146,7 @@
 func (a *Agent) runQueuedRequest(now time.Time, request *backlog.Request, waiting int, out *currantturn.Effects) (delivered bool) {
 	a.flows.Update(request.Flow, func(r *flowRecord) *flowRecord {
 		if r == nil || r.storedPackets == nil {
-			a.tracker.requestDropped()
+			a.tracker.requestCanceled(now)
 			return r
 		}
 		delivered = true
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -26,6 +26,9 @@
 		from = netip.AddrPortFrom(e.Balancer.Addr(), a.opts.LinkPort)
 	}
 	a.recordBalancer(now, from)
+	if e.ReadsLoads {
+		a.recordReadsLoads(from)
+	}
 	a.updatePosition(e.Position)
 	a.learnWarmUp(now, from, e.Position, e.Warming)
 	a.forwardSearch(from, e, out)
--- a/internal/coordination/flowagent/stop.go
+++ b/internal/coordination/flowagent/stop.go
@@ -26,7 +26,7 @@
 	a.mu.Lock()
 	waiting := a.backlog.RemoveAll()
 	for range waiting {
-		a.tracker.requestStarted()
+		a.tracker.requestStarted(now)
 	}
 	a.mu.Unlock()
 	for i := range waiting {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -12,6 +12,8 @@
 	Sent        int           // flows placed there since that report
 	Flows       int           // open flows, as last reported
 	ServiceTime time.Duration // average time to an answer; zero if unknown
+	Slowness    float64       // time to an answer, compared to the usual by kinds of requests; 0 if unknown
+	Short       float64       // share of answers that came far too early, above that of the others
 	WarmingUp   bool          // true if it started recently
 	WarmUpRate  float64       // requests per second that it bears when it has just started; 0 if not configured
 	Warmth      float64       // elapsed part of its warm-up, with WarmUpRate
@@ -55,15 +57,35 @@
 	return total
 }
 
-// slowness returns the ratio of the candidate's service time to the usual one,
-// from 1 to maxSlowness; 1 if either is unknown.
+// suspect reports whether the candidate probably fails requests: far more of its answers
+// than of the others' came far too early, or most did.
+func (c *Candidate) suspect() bool {
+	return c.Short >= suspectShare || c.Slowness > 0 && c.Slowness < failingSlowness
+}
+
+// slowness returns the ratio of the candidate's service time to the usual one, from
+// minSlowness to maxSlowness; 1 if it is unknown, and at least suspectSlowness for a
+// suspect. A ratio just below 1 counts as 1. Without the times of kinds of requests, only
+// a slower candidate counts: a short average may come from the mix of its work.
 func (c *Candidate) slowness(usual time.Duration) float64 {
+	if c.suspect() {
+		return min(max(c.Slowness, suspectSlowness), maxSlowness)
+	}
+	if c.Slowness > 0 {
+		if c.Slowness > fasterThreshold && c.Slowness < 1 {
+			return 1
+		}
+		return min(max(c.Slowness, minSlowness), maxSlowness)
+	}
 	if usual <= 0 || c.ServiceTime <= 0 {
 		return 1
 	}
 	return min(max(float64(c.ServiceTime)/float64(usual), 1), maxSlowness)
 }
 
+// SlownessAgainst returns the slowness that placement uses, given the usual service time.
+func (c *Candidate) SlownessAgainst(usual time.Duration) float64 { return c.slowness(usual) }
+
 // IsSlow reports whether the candidate is so much slower than usual that it receives
 // clearly less work. The threshold is lower if it was slow before.
 func (c *Candidate) IsSlow(usual time.Duration, wasSlow bool) bool {
