--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
 )
 
@@ -15,7 +16,7 @@
 	lastReceived time.Time  // when its last packet arrived
 	lastReported time.Time  // when it was last sent a report
 	reportedLoad relay.Load // in that report
-	sendsWarmUp  bool       // whether it sends the warm-up, and so reads it in reports
+	readsLoads   bool       // whether it reads all fields of a load
 }
 
 // recordBalancer records a packet from a balancer, so that reports are sent to
@@ -35,6 +36,15 @@
 	a.announcer.recordReceived(now)
 }
 
+// recordReadsLoads records that a balancer reads all fields of a load.
+func (a *Agent) recordReadsLoads(balancer netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if receiver := a.balancers[balancer]; receiver != nil {
+		receiver.readsLoads = true
+	}
+}
+
 // currentLoad returns the current load, with the length of the backlog and whether
 // the backend server is unresponsive.
 func (a *Agent) currentLoad(now time.Time) relay.Load {
@@ -43,9 +53,53 @@
 	defer a.mu.Unlock()
 	load.Unresponsive = !a.unresponsiveSince.IsZero()
 	load.Waiting = a.backlog.Len()
+	load.DeclinesMS = a.declinesMS(now)
 	return load
 }
 
+// loadFor returns the current load in the form that a balancer reads.
+func (a *Agent) loadFor(now time.Time, balancer netip.AddrPort) relay.Load {
+	load := a.currentLoad(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if receiver := a.balancers[balancer]; receiver != nil {
+		return receiver.readable(load)
+	}
+	return load.Basic()
+}
+
+// readable returns the load in the form that the balancer reads.
+func (r *reportReceiver) readable(load relay.Load) relay.Load {
+	if r.readsLoads {
+		return load
+	}
+	return load.Basic()
+}
+
+// reportLimit emits an event if the number of requests that the backend server takes
+// well at once has changed.
+func (a *Agent) reportLimit(now time.Time, out *currantturn.Effects) {
+	limit, slots := a.tracker.limit(now)
+	logged := limit
+	if limit == slots {
+		logged = 0
+	}
+	a.mu.Lock()
+	changed := a.loggedLimit != logged
+	a.loggedLimit = logged
+	a.mu.Unlock()
+	if changed {
+		out.Event(event.BackendLimit, event.F("backend", a.opts.Backend), event.F("limit", limit), event.F("slots", slots))
+	}
+}
+
+// lastLimit returns the limit of the last event, 0 if it is the slots.
+func (a *Agent) lastLimit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.loggedLimit
+}
+
 // sendReports sends the load to recently active balancers: after reportInterval
 // if it has changed, else after refreshInterval. If the rate limit is reached,
 // those with the oldest report come first.
@@ -53,7 +107,6 @@
 	load := a.currentLoad(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	declines := a.declinesMS(now)
 	var due []netip.AddrPort
 	for at, receiver := range a.balancers {
 		if now.Sub(receiver.lastReceived) > balancerTimeout {
@@ -61,8 +114,7 @@
 			continue
 		}
 		age := now.Sub(receiver.lastReported)
-		load.DeclinesMS = receiver.readable(declines)
-		if age < reportInterval || receiver.reportedLoad == load && age < refreshInterval {
+		if age < reportInterval || receiver.reportedLoad == receiver.readable(load) && age < refreshInterval {
 			continue
 		}
 		due = append(due, at)
@@ -75,8 +127,7 @@
 			return
 		}
 		receiver := a.balancers[at]
-		load.DeclinesMS = receiver.readable(declines)
-		receiver.lastReported, receiver.reportedLoad = now, load
-		out.Send(at, relay.Report{Load: load})
+		receiver.lastReported, receiver.reportedLoad = now, receiver.readable(load)
+		out.Send(at, relay.Report{Load: receiver.reportedLoad})
 	}
 }
--- a/internal/coordination/flowagent/warm_up.go
+++ b/internal/coordination/flowagent/warm_up.go
@@ -7,7 +7,6 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/event"
-	"github.com/currantturn/currantturn/internal/protocol/relay"
 )
 
 // learnWarmUp stores the warm-up that a balancer sends, with an opening packet or alone.
@@ -19,7 +18,7 @@
 	defer a.mu.Unlock()
 	a.warmUp.Learn(now, position, w)
 	if receiver := a.balancers[from]; receiver != nil {
-		receiver.sendsWarmUp = true
+		receiver.readsLoads = true
 	}
 }
 
@@ -65,28 +64,9 @@
 	a.warmUp.Configure(overshoot, tolerance)
 }
 
-// loadFor returns the current load in the form that a balancer reads.
-func (a *Agent) loadFor(now time.Time, balancer netip.AddrPort) relay.Load {
-	load := a.currentLoad(now)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if receiver := a.balancers[balancer]; receiver != nil {
-		load.DeclinesMS = receiver.readable(a.declinesMS(now))
-	}
-	return load
-}
-
 // declinesMS returns for how many milliseconds new flows are declined because the backend
 // server is cold, rounded up.
 func (a *Agent) declinesMS(now time.Time) uint16 {
 	wait := a.warmUp.Wait(now) + time.Millisecond - 1
 	return uint16(min(wait.Milliseconds(), math.MaxUint16))
 }
-
-// readable returns declinesMS, or 0 for a balancer that may not know the field.
-func (r *reportReceiver) readable(declinesMS uint16) uint16 {
-	if !r.sendsWarmUp {
-		return 0
-	}
-	return declinesMS
-}
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -189,7 +189,7 @@
 	}
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: t.agent, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToBackend, Intent: intent, Service: t.entry.Service, Packet: *packet,
-		Position: b.plan.Load().position, Warming: t.warming(now, intent),
+		Position: b.plan.Load().position, Warming: t.warming(now, intent), ReadsLoads: intent == currantturn.IntentPlace,
 		Demand: currantturn.Demand{
 			Slots: t.entry.Slots, Priority: route.Priority, LatencyObjective: route.LatencyObjective, Timeout: route.Timeout,
 		},
--- a/internal/protocol/relay/frame.go
+++ b/internal/protocol/relay/frame.go
@@ -38,10 +38,10 @@
 	recipientsOffset     = 6
 	addressBytes         = 4
 
-	// In the prefix of an opening packet that is placed, three numbers of addressBytes
-	// take the place of recipients: the warm-up of the backend server as rate in
-	// thousandths per second, and duration and remaining time in milliseconds. Earlier
-	// agents ignore recipients of such packets.
+	// The prefix of an opening packet that is placed shows that the sender reads all fields
+	// of a load. In it, three numbers of addressBytes may take the place of recipients: the
+	// warm-up of the backend server as rate in thousandths per second, and duration and
+	// remaining time in milliseconds. Earlier agents ignore the prefix of such packets.
 	warmingFields = 3
 	rateUnit      = 1e-3
 
@@ -68,6 +68,8 @@
 		dst = appendPrefix(dst, e)
 	case e.Intent == currantturn.IntentPlace && e.Warming.WarmUp.Rate > 0:
 		dst = appendWarming(dst, &e.Warming)
+	case e.Intent == currantturn.IntentPlace && e.ReadsLoads:
+		dst = appendPrefix(dst, e)
 	}
 	name := e.Service[:min(len(e.Service), maxUint8)]
 	dst = append(
@@ -164,7 +166,8 @@
 	if len(frame) == 0 {
 		return nil, eris.Wrap(currantturn.ErrMalformed, "empty frame")
 	}
-	if frame[0] == typeSpread {
+	prefixed := frame[0] == typeSpread
+	if prefixed {
 		var err error
 		if frame, err = decodePrefix(frame, e); err != nil {
 			return nil, err
@@ -177,7 +180,9 @@
 	case typeMessage:
 		return message.Decode(frame[1:])
 	case typePacket:
-		return nil, decodePacket(frame, ownService, e)
+		err := decodePacket(frame, ownService, e)
+		e.ReadsLoads = prefixed && e.Intent == currantturn.IntentPlace
+		return nil, err
 	default:
 		return nil, eris.Wrapf(currantturn.ErrMalformed, "frame type %d", frame[0])
 	}
--- a/internal/protocol/relay/frame_test.go
+++ b/internal/protocol/relay/frame_test.go
@@ -62,6 +62,7 @@
 				WarmUp:    currantturn.WarmUp{Duration: 2 * time.Second, Rate: 12.5},
 				Remaining: 1500 * time.Millisecond,
 			},
+			ReadsLoads: true,
 		}
 		frame := relay.AppendPacket(nil, &sent)
 		var got currantturn.Envelope
@@ -72,12 +73,28 @@
 		// and no balancer.
 		Expect(frame[:6]).To(Equal([]byte{3, 3, 0, 0, 0, 0}))
 		without := sent
-		without.Warming = currantturn.Warming{}
+		without.Warming, without.ReadsLoads = currantturn.Warming{}, false
 		Expect(frame[6+3*4:]).To(Equal(relay.AppendPacket(nil, &without)))
 		sent.Intent = currantturn.IntentHeld
 		Expect(relay.AppendPacket(nil, &sent)[0]).To(Equal(byte(1)), "only packets that place a flow carry it")
 	})
 
+	// Earlier agents read an empty prefix, without a balancer.
+	It("shows with a packet that places a flow that its sender reads all fields of a load", func() {
+		sent := currantturn.Envelope{
+			Intent: currantturn.IntentPlace, Service: "verify", ReadsLoads: true, Packet: currantturn.Packet{Payload: []byte("packet")},
+		}
+		frame := relay.AppendPacket(nil, &sent)
+		Expect(frame[:6]).To(Equal([]byte{3, 0, 0, 0, 0, 0}))
+		var got currantturn.Envelope
+		_, err := relay.Decode(frame, "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(sent))
+		_, err = relay.Decode(frame[6:], "other", &got)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.ReadsLoads).To(BeFalse())
+	})
+
 	It("clamps numbers that do not fit into their field", func() {
 		sent := currantturn.Envelope{Intent: currantturn.IntentHeld, Demand: currantturn.Demand{Slots: 1000, Timeout: time.Hour}}
 		var got currantturn.Envelope
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -15,12 +15,27 @@
 	ServiceTimeUS uint32 `cbor:"3,keyasint"` // mean service time of recent requests, microseconds
 	Unresponsive  bool   `cbor:"4,keyasint"` // the backend server does not answer
 	Waiting       int    `cbor:"5,keyasint"` // requests that are queued for a slot
-	// DeclinesMS is for how many milliseconds the agent declines new flows because the
-	// backend server is cold. It is sent only to balancers that send the warm-up, since
+	// The fields below are sent only to balancers that have shown to read them, since
 	// earlier ones refuse messages with unknown fields.
+
+	// Times are the times to an answer of the most recent kinds of requests.
+	Times KindTimes `cbor:"10,keyasint,omitempty"`
+	// Limit is how many requests at once the backend server takes well, 0 if that is as
+	// many as it has slots.
+	Limit int `cbor:"11,keyasint,omitempty"`
+	// Short is the share of answers that came far too early for their kind, in percent.
+	Short int `cbor:"12,keyasint,omitempty"`
+	// DeclinesMS is for how many milliseconds the agent declines new flows because the
+	// backend server is cold.
 	DeclinesMS uint16 `cbor:"20,keyasint,omitempty"`
 }
 
+// Basic returns the load without the fields that earlier balancers refuse.
+func (l Load) Basic() Load {
+	l.Times, l.Limit, l.Short, l.DeclinesMS = 0, 0, 0, 0
+	return l
+}
+
 // ServiceTime returns the mean service time of recent requests.
 func (l *Load) ServiceTime() time.Duration {
 	return time.Duration(l.ServiceTimeUS) * time.Microsecond
--- a/packet.go
+++ b/packet.go
@@ -111,4 +111,7 @@
 	Recipients []netip.Addr
 	// Warming is the warm-up of the receiver's backend server, with IntentPlace.
 	Warming Warming
+	// ReadsLoads is true, with IntentPlace, if the sender decodes all fields of the loads that
+	// agents report; earlier processes refuse fields that they do not know.
+	ReadsLoads bool
 }
