warmup: signs of a restart that no registration shows

While the store is away no registration shows a restart, and - a balancer sends nothing to a busy backend server that has ended, so nothing goes unanswered: a silence of a second now counts, at the next opening packet or bounce; - the VM of one that is down bounces opening packets at once, which is an answer: one that accepts an opening packet after it bounced some now counts as restarted.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -305,9 +305,10 @@
 
 // markBackendResponsive clears the unresponsive state: any packet from the backend
 // server shows that it is responsive.
-func (a *Agent) markBackendResponsive(now time.Time, out *currantturn.Effects) {
+func (a *Agent) markBackendResponsive(now time.Time, p *currantturn.Packet, out *currantturn.Effects) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.warmUp.RecordAnswer(now, p)
 	if !a.unresponsiveSince.IsZero() {
 		a.warmUp.RecordRecovery(now)
 		out.Event(event.BackendAnswers, event.F("backend", a.opts.Backend))
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -11,7 +11,7 @@
 // Answer processes a packet from the backend server: an answer to a caller, or a
 // caller's packet that bounced.
 func (a *Agent) Answer(now time.Time, p *currantturn.Packet, out *currantturn.Effects) {
-	a.markBackendResponsive(now, out)
+	a.markBackendResponsive(now, p, out)
 	if p.Bounced {
 		a.counts.bounced.Add(1)
 		a.handleBounce(now, p, out)
--- a/internal/coordination/flowbalancer/warm_up_test.go
+++ b/internal/coordination/flowbalancer/warm_up_test.go
@@ -140,6 +140,19 @@
 		Expect(mostOpenings(b, cold)).To(And(BeNumerically("<=", limit), BeNumerically(">=", limit/2)))
 	})
 
+	// While the store is away, a backend server restarts to which no balancer sends anything.
+	It("stay within the limit after a restart that no packet shows", func() {
+		sim := startWarm(211, 12)
+		load(sim, time.Second)
+		b := sim.backends["verify-01"]
+		sim.run(time.Second)
+		restart(sim, b)
+		sim.run(500 * time.Millisecond)
+		cold := sim.now.Add(duration)
+		load(sim, duration)
+		Expect(mostOpenings(b, cold)).To(And(BeNumerically("<=", limit), BeNumerically(">=", limit/2)))
+	})
+
 	// A backend server that gets no new flows for a while, as of a drained failure domain,
 	// may be cold afterwards, and its registration says so up to a heartbeat later.
 	It("stay within the limit when a backend server is taken back before it is known to be cold", func() {
--- a/internal/coordination/warmup/constants.go
+++ b/internal/coordination/warmup/constants.go
@@ -16,6 +16,9 @@
 	// a restart after one did, so that a backend server that drops idle flows is limited
 	// for a part of the time only.
 	forgottenPause = 4
+	// maxSilence is how long the backend server may send nothing before it may have
+	// restarted unnoticed: less than a restart without any packet takes.
+	maxSilence = time.Second
 	// rounding absorbs errors of floating-point arithmetic in the limit.
 	rounding = 1e-9
 )
--- a/internal/coordination/warmup/limiter.go
+++ b/internal/coordination/warmup/limiter.go
@@ -28,6 +28,8 @@
 	// presumedUntil by the signs of a restart that this process has seen.
 	publishedUntil, presumedUntil time.Time
 	forgottenUntil                time.Time   // until when a lost flow is no sign of a restart
+	answeredAt                    time.Time   // last packet from the backend server; zero before the first one
+	refusing                      bool        // whether it bounced the last opening packet that it answered
 	uncountedAt                   time.Time   // last opening packet that was not counted
 	taken                         []time.Time // counted opening packets, oldest first
 }
@@ -86,6 +88,21 @@
 	l.RecordRecovery(now)
 }
 
+// RecordAnswer records a packet from the backend server. After a silence, a bounced one may
+// be of a flow that it has lost by a restart; any other shows that it did not lose the flow.
+// One that bounced opening packets and accepts one again may have restarted in between.
+func (l *Limiter) RecordAnswer(now time.Time, p *currantturn.Packet) {
+	now = l.advance(now)
+	opening := p.Mark == currantturn.MarkOpening
+	if p.Bounced && l.silent(now) || !p.Bounced && opening && l.refusing {
+		l.RecordRecovery(now)
+	}
+	if opening {
+		l.refusing = p.Bounced
+	}
+	l.answeredAt = now
+}
+
 // Take reports whether the backend server may get an opening packet now, and counts it.
 func (l *Limiter) Take(now time.Time) bool {
 	now = l.advance(now)
@@ -93,6 +110,9 @@
 		l.uncountedAt = now
 		return true
 	}
+	if l.silent(now) {
+		l.RecordRecovery(now)
+	}
 	if l.Wait(now) > 0 {
 		return false
 	}
@@ -154,6 +174,12 @@
 	return l.publishedUntil
 }
 
+// silent reports whether the backend server has sent nothing for so long that it may have
+// restarted.
+func (l *Limiter) silent(now time.Time) bool {
+	return !l.answeredAt.IsZero() && now.Sub(l.answeredAt) >= maxSilence
+}
+
 // known reports whether the service has a rate.
 func (l *Limiter) known(now time.Time) bool {
 	return l.warmUp.Rate > 0 && now.Sub(l.learnedAt) < knowledgeLifetime
--- a/internal/coordination/warmup/limiter_test.go
+++ b/internal/coordination/warmup/limiter_test.go
@@ -53,6 +53,7 @@
 
 var _ = Describe("the limit on opening packets of a cold backend server", func() {
 	at := func(d time.Duration) time.Time { return start.Add(d) }
+	answer, bounced := &currantturn.Packet{Mark: currantturn.MarkData}, &currantturn.Packet{Mark: currantturn.MarkData, Bounced: true}
 	revision := func(n uint64) currantturn.Position { return currantturn.Position{Revision: n} }
 
 	It("holds in every second, and nearly that many are taken", func() {
@@ -172,6 +173,46 @@
 		Expect(l.Cold(at(9 * time.Second))).To(BeFalse())
 	})
 
+	// It may have restarted while nothing was sent to it.
+	It("applies when the backend server has sent nothing for a second, but not before its first packet", func() {
+		l := newLimiter(true)
+		l.Learn(start, revision(1), cold(0))
+		Expect(take(l, at(10*time.Second), 100, 0)).To(HaveLen(100))
+		l.RecordAnswer(at(10*time.Second), answer)
+		Expect(take(l, at(10900*time.Millisecond), 100, 0)).To(HaveLen(100))
+		l.RecordAnswer(at(11*time.Second), answer)
+		Expect(take(l, at(13*time.Second), 100, 0)).To(HaveLen(limit))
+		l.RecordAnswer(at(13*time.Second), answer)
+		Expect(l.Cold(at(16900 * time.Millisecond))).To(BeTrue())
+		Expect(l.Cold(at(17 * time.Second))).To(BeFalse())
+	})
+
+	// After a restart it bounces the packets of flows that the agent has no record of.
+	It("applies when the backend server bounces a packet after it has sent nothing for a second", func() {
+		l := newLimiter(true)
+		l.Learn(start, revision(1), cold(0))
+		l.RecordAnswer(at(10*time.Second), bounced)
+		l.RecordAnswer(at(10500*time.Millisecond), bounced)
+		l.RecordAnswer(at(12*time.Second), answer)
+		Expect(l.Cold(at(12 * time.Second))).To(BeFalse())
+		l.RecordAnswer(at(13*time.Second), bounced)
+		Expect(l.Cold(at(13 * time.Second))).To(BeTrue())
+	})
+
+	// While it is down, its VM bounces opening packets at once, so there is no silence.
+	It("applies when the backend server accepts an opening packet after it bounced some", func() {
+		l := newLimiter(true)
+		l.Learn(start, revision(1), cold(0))
+		for n := range 10 {
+			l.RecordAnswer(at(time.Duration(n)*100*time.Millisecond), &currantturn.Packet{Mark: currantturn.MarkOpening, Bounced: true})
+		}
+		Expect(l.Cold(at(900 * time.Millisecond))).To(BeFalse())
+		l.RecordAnswer(at(time.Second), &currantturn.Packet{Mark: currantturn.MarkOpening})
+		Expect(l.Cold(at(time.Second))).To(BeTrue())
+		l.RecordAnswer(at(2*time.Second), &currantturn.Packet{Mark: currantturn.MarkOpening})
+		Expect(l.Cold(at(5 * time.Second))).To(BeFalse())
+	})
+
 	It("applies when the backend server has lost a flow, but not for ever when it drops idle ones", func() {
 		l := newLimiter(true)
 		coldTime := 0
