--- a/internal/coordination/flowagent/capacity_test.go
+++ b/internal/coordination/flowagent/capacity_test.go
@@ -71,3 +71,31 @@
 		Expect(load.Times).NotTo(BeZero())
 	})
 })
+
+var _ = Describe("a backend server that fails part of its requests at once", func() {
+	It("is reported with the share of answers that came far too early", func() {
+		t := newTestAgent(true)
+		short := func() int {
+			t.out.Reset()
+			t.agent.Handle(t.now, balancer, relay.Probe{}, &t.out)
+			return t.out.Sends[0].Message.(relay.Report).Load.Short
+		}
+		t.open(caller)
+		next := uint32(101)
+		request := func(took time.Duration) {
+			t.route(caller, currantturn.IntentHeld, ack, next, 501, 100)
+			next += 100
+			t.tick(took)
+			t.answer(caller, ack, 501, next, 1)
+			t.tick(50 * time.Millisecond)
+		}
+		for range 30 {
+			request(30 * time.Millisecond)
+		}
+		Expect(short()).To(BeZero())
+		for n := range 60 {
+			request([]time.Duration{time.Millisecond, 30 * time.Millisecond, 30 * time.Millisecond}[n%3])
+		}
+		Expect(short()).To(BeNumerically("~", 33, 5))
+	})
+})
--- a/internal/coordination/flowbalancer/uneven_test.go
+++ b/internal/coordination/flowbalancer/uneven_test.go
@@ -31,4 +31,21 @@
 		_, timely := sim.countAnswers(120 * time.Millisecond)
 		Expect(timely).To(BeNumerically(">", 1950))
 	})
+
+	// Three in eight requests of one backend server fail at once, which looks fast.
+	It("go to one that fails requests at once less than to others", func() {
+		sim := startFleet(32, 1, 6, 0)
+		failing := sim.backends["verify-00"]
+		for n := range 2000 {
+			failing.serviceTime = 20 * time.Millisecond
+			if n%16 < 6 {
+				failing.serviceTime = 500 * time.Microsecond
+			}
+			sim.addCaller(0)
+			sim.run(2500 * time.Microsecond)
+		}
+		sim.run(time.Second)
+		Expect(failing.requestsRun).To(BeNumerically("<", 2000/6*7/10))
+		Expect(failing.requestsRun).To(BeNumerically(">", 2000/6/20))
+	})
 })
