--- a/internal/coordination/flowagent/load.go
+++ b/internal/coordination/flowagent/load.go
@@ -132,7 +132,7 @@
 	defer t.mu.Unlock()
 	l := relay.Load{Running: t.concurrency.InProgress(), Flows: t.openFlows, Times: t.kindTimes(now)}
 	l.Short = t.reportedShort
-	if limit := t.concurrency.Limit(now); limit < t.concurrency.Slots() {
+	if limit := t.concurrency.Learned(now); limit < t.concurrency.Slots() {
 		l.Limit = limit
 	}
 	if now.Sub(t.lastAnswer) < serviceTimeLifetime {
