--- a/internal/process/flow.go
+++ b/internal/process/flow.go
@@ -45,19 +45,26 @@
 	handler http.Handler
 }
 
-// serveHTTP starts a server for each endpoint that has an address.
+// serveHTTP starts a server for each endpoint that has an address. It serves none before
+// all of them listen, so that a process that is ready also answers at its other addresses.
 func (c *flowComponents) serveHTTP(endpoints ...endpoint) error {
+	var listeners []net.Listener
 	for _, e := range endpoints {
 		if !e.address.IsValid() {
 			continue
 		}
 		ln, err := net.Listen("tcp4", e.address.String())
 		if err != nil {
+			for _, other := range listeners {
+				_ = other.Close() // nothing was served yet
+			}
 			return eris.Wrapf(err, "listen at %s", e.address)
 		}
-		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}
-		c.servers = append(c.servers, server)
-		go func() { _ = server.Serve(ln) }() // returns after Close
+		listeners = append(listeners, ln)
+		c.servers = append(c.servers, &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout})
+	}
+	for i, ln := range listeners {
+		go func() { _ = c.servers[i].Serve(ln) }() // returns after Close
 	}
 	return nil
 }
