--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -30,44 +30,6 @@
 	Fresh bool
 }
 
-// State is what is published at one revision of the store, with what it recently
-// contained; it is never modified.
-type State struct {
-	currantturn.Position
-	Routing *currantturn.Routing `cbor:"2,keyasint"` // nil if the reader already has it
-	Servers []roster.Entry       `cbor:"3,keyasint"`
-	Version currantturn.Version  `cbor:"4,keyasint"` // of the routing
-	// RecordedMS is how far back the record of removals reaches: Servers contains the
-	// registrations and Earlier the services of routes that were removed since then.
-	RecordedMS uint32               `cbor:"5,keyasint,omitempty"`
-	Earlier    []routehistory.Entry `cbor:"6,keyasint,omitempty"`
-	// Announced are agents that may not be registered.
-	Announced []Announced `cbor:"7,keyasint,omitempty"`
-	// Unverified is true for a while after the store returned from a copy: Servers includes
-	// what was published before, and may contain what the store no longer has.
-	Unverified bool `cbor:"8,keyasint,omitempty"`
-	// Drained are the failure domains whose backend servers get no new flows; DrainedKnown is
-	// false from a process that does not know of them.
-	Drained      []drained.Entry `cbor:"9,keyasint,omitempty"`
-	DrainedKnown bool            `cbor:"10,keyasint,omitempty"`
-	// PlacementHeld is true while new flows have to wait and no flow may be reset, because
-	// the state may come from a copy of the store and nothing else is known yet.
-	PlacementHeld bool `cbor:"-"`
-}
-
-// Recorded returns how far back the record of removals reaches.
-func (s *State) Recorded() time.Duration {
-	return time.Duration(s.RecordedMS) * time.Millisecond
-}
-
-// RoutingVersion returns the version of the routing, 0 without one.
-func (s *State) RoutingVersion() currantturn.Version {
-	if s.Routing == nil {
-		return 0
-	}
-	return s.Routing.Version
-}
-
 // Step is the next action of a balancer on the store.
 type Step string
 
@@ -124,47 +86,6 @@
 	ages             *metric.Histogram // age of the state at each heartbeat
 }
 
-// Counters are a feed's totals since its start, and its present state.
-type Counters struct {
-	Lists       uint64 `json:"lists"`      // complete reads of the store
-	Watches     uint64 `json:"watches"`    // watches that returned a result
-	Failures    uint64 `json:"failures"`   // reads without a usable answer
-	Compacted   uint64 `json:"compacted"`  // watches whose start revision was compacted away
-	Pulls       uint64 `json:"pulls"`      // states taken from another balancer
-	Version     uint64 `json:"version"`    // configuration in force
-	Era         uint64 `json:"era"`        // store's era of the state in force; 0 if unknown
-	Revision    uint64 `json:"revision"`   // store's revision of the state in force
-	Restored    uint64 `json:"restored"`   // times that the store has returned from a copy
-	Unconfirmed uint64 `json:"unsure_ms"`  // milliseconds since the store confirmed the state
-	Peers       int    `json:"peers"`      // other balancers that are alive
-	Registered  int    `json:"registered"` // current registrations
-	Unreadable  int    `json:"unreadable"` // store entries that cannot be decoded, at a balancer that reads the store
-	Drained     int    `json:"drained"`    // failure domains whose backend servers get no new flows, by order of the operator
-	Announced   uint64 `json:"announced"`  // announcements of agents that receive nothing from balancers
-
-	Ages metric.Summary `json:"ages"` // age of configuration and registrations, at each heartbeat
-}
-
-// Counters returns the totals so far and the present state.
-func (f *Feed) Counters(now time.Time) Counters {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.counts
-	c.Ages = f.ages.Summary()
-	c.Era, c.Revision = f.state.Era, f.state.Revision
-	if f.state.Routing != nil {
-		c.Version = uint64(f.state.Routing.Version)
-		c.Unconfirmed = uint64(max(now.Sub(f.confirmedAt), 0).Milliseconds())
-	}
-	c.Peers, c.Drained = f.countAlive(now), len(f.state.Drained)
-	for i := range f.state.Servers {
-		if f.state.Servers[i].Gone.IsZero() {
-			c.Registered++
-		}
-	}
-	return c
-}
-
 // New returns a feed without a state.
 func New(now time.Time, opts Options) *Feed {
 	f := &Feed{
