--- a/internal/soak/later.go
+++ b/internal/soak/later.go
@@ -73,11 +73,11 @@
 		return
 	}
 	r.withDisturbance(func() {
-		r.operator.store.Drain(domain)
+		r.operator.drain(domain)
 		r.checker.recordDrained(time.Now(), domain)
 		pause.For(ctx, f.Duration)
 		r.checker.endDrain(domain)
-		r.operator.store.Undrain(domain)
+		r.operator.undrain(domain)
 	}, drainSubject)
 }
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -22,7 +22,8 @@
 	mu         sync.Mutex
 	version    uint64 // of the current configuration
 	current    platformtest.Configuration
-	lastSerial int // number of the last instance
+	lastSerial int             // number of the last instance
+	drained    map[string]bool // failure domains that are to be drained
 }
 
 // Addresses of services. New flows to reroutedService go to another service with each
@@ -52,6 +53,40 @@
 	})
 }
 
+// drain orders that a failure domain is drained.
+func (o *operator) drain(domain string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.drained == nil {
+		o.drained = make(map[string]bool)
+	}
+	o.drained[domain] = true
+	o.store.Drain(domain)
+}
+
+// undrain takes the order to drain a failure domain back.
+func (o *operator) undrain(domain string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.drained, domain)
+	o.store.Undrain(domain)
+}
+
+// writeOrders writes the orders to drain failure domains again, and removes those again
+// that were taken back.
+func (o *operator) writeOrders() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, domain := range o.store.Drained() {
+		if !o.drained[domain] {
+			o.store.Undrain(domain)
+		}
+	}
+	for domain := range o.drained {
+		o.store.Drain(domain)
+	}
+}
+
 func serviceName(i int) string { return fmt.Sprintf("service%d", i) }
 
 // newInstance returns a backend server with a new ID.
@@ -157,8 +192,8 @@
 	return true
 }
 
-// writeAgain writes the configuration and the registrations of running backend servers
-// again, within rewriteWithin, after the store has returned from a copy. Registrations of
+// writeAgain writes the configuration, the orders to drain failure domains and the
+// registrations of running backend servers again, within rewriteWithin, after the store has returned from a copy. Registrations of
 // backend servers that have ended lapse meanwhile.
 func (o *operator) writeAgain(ctx context.Context) {
 	interval := rewriteWithin / time.Duration(len(o.vms)+1)
@@ -173,6 +208,7 @@
 	o.mu.Lock()
 	o.store.Configure(o.current)
 	o.mu.Unlock()
+	o.writeOrders()
 	o.removeLapsed()
 }
 
--- a/internal/soak/regression.go
+++ b/internal/soak/regression.go
@@ -14,4 +14,5 @@
 	{Seed: 2024, Cause: "same cause as seed 2007"},
 	{Seed: 2038, Cause: "same cause as seed 2007"},
 	{Seed: 3049, Cause: "on a busy machine, the only backend server of a service took over 70 ms to answer an opening packet, and the balancer refused the flow"},
+	{Seed: 7015, Cause: "the store returned from a copy with an order to drain a failure domain that the operator had taken back, and the operator did not take it back again"},
 }
