statesync: the two models disturb the store by one function

The models of eras and of drained failure domains each held the same four operations. The draws and their order are the same, so the schedules of a seed stay as they were.

--- a/internal/coordination/statesync/drained_model_test.go
+++ b/internal/coordination/statesync/drained_model_test.go
@@ -116,8 +116,8 @@
 	restarted := time.Time{}
 	domains := []currantturn.FailureDomain{"kurasini", "upanga", "nowhere"}
 	for range rapid.IntRange(5, 20).Draw(t, "operations") {
-		operation := rapid.SampledFrom([]string{"order", "order", "revoke", "again", "add", "configure", "restore", "away", "compact", "restart", "cut", "pause"})
-		switch operation.Draw(t, "operation") {
+		operation := rapid.SampledFrom([]string{"order", "order", "revoke", "again", "add", "configure", "restore", "away", "compact", "restart", "cut", "pause"}).Draw(t, "operation")
+		switch operation {
 		case "order":
 			m.command(rapid.SampledFrom(domains).Draw(t, "domain"), true)
 		case "revoke":
@@ -128,20 +128,8 @@
 			m.command(name, true)
 		case "add":
 			m.add()
-		case "configure":
-			if !m.store.away {
-				m.version += 3
-				m.store.configure(m.version)
-			}
-		case "restore":
-			age := time.Duration(rapid.IntRange(1, 10).Draw(t, "age")) * time.Second
-			m.goAway(age, time.Duration(rapid.IntRange(0, 30).Draw(t, "away"))*100*time.Millisecond)
-		case "away":
-			if !m.store.away {
-				m.goAway(0, time.Duration(rapid.IntRange(1, 30).Draw(t, "away"))*100*time.Millisecond)
-			}
-		case "compact":
-			m.store.compact()
+		case "configure", "restore", "away", "compact":
+			m.disturbStore(t, operation)
 		case "restart":
 			if m.cut < 0 && m.now.Sub(restarted) > time.Second { // the others know what was published
 				m.restart(rapid.IntRange(0, len(m.balancers)-1).Draw(t, "balancer"))
--- a/internal/coordination/statesync/era_model_test.go
+++ b/internal/coordination/statesync/era_model_test.go
@@ -225,6 +225,27 @@
 	})
 })
 
+// disturbStore publishes a configuration, or lets the store go away, return from a copy or
+// forget its history.
+func (m *model) disturbStore(t *rapid.T, operation string) {
+	switch operation {
+	case "configure":
+		if !m.store.away {
+			m.version += 3
+			m.store.configure(m.version)
+		}
+	case "restore":
+		age := time.Duration(rapid.IntRange(1, 10).Draw(t, "age")) * time.Second
+		m.goAway(age, time.Duration(rapid.IntRange(0, 30).Draw(t, "away"))*100*time.Millisecond)
+	case "away":
+		if !m.store.away {
+			m.goAway(0, time.Duration(rapid.IntRange(1, 30).Draw(t, "away"))*100*time.Millisecond)
+		}
+	case "compact":
+		m.store.compact()
+	}
+}
+
 // playEras plays a random schedule of copies, outages, compactions, writers and restarts. A
 // version never goes back, no backend server gets new flows once its leaving could be read
 // for leaveBound, and the state is the store's when that is quiet.
@@ -233,7 +254,8 @@
 	m := newModel(rapid.IntRange(2, 6).Draw(t, "balancers"))
 	restarted := time.Time{}
 	for range rapid.IntRange(5, 20).Draw(t, "operations") {
-		switch rapid.SampledFrom([]string{"add", "drain", "crash", "reborn", "configure", "restore", "away", "compact", "restart", "pause"}).Draw(t, "operation") {
+		operation := rapid.SampledFrom([]string{"add", "drain", "crash", "reborn", "configure", "restore", "away", "compact", "restart", "pause"}).Draw(t, "operation")
+		switch operation {
 		case "add":
 			m.add()
 		case "drain":
@@ -247,20 +269,8 @@
 			}
 		case "reborn":
 			m.reborn(m.servers[rapid.SampledFrom(slices.Sorted(maps.Keys(m.servers))).Draw(t, "server")])
-		case "configure":
-			if !m.store.away {
-				m.version += 3
-				m.store.configure(m.version)
-			}
-		case "restore":
-			age := time.Duration(rapid.IntRange(1, 10).Draw(t, "age")) * time.Second
-			m.goAway(age, time.Duration(rapid.IntRange(0, 30).Draw(t, "away"))*100*time.Millisecond)
-		case "away":
-			if !m.store.away {
-				m.goAway(0, time.Duration(rapid.IntRange(1, 30).Draw(t, "away"))*100*time.Millisecond)
-			}
-		case "compact":
-			m.store.compact()
+		case "configure", "restore", "away", "compact":
+			m.disturbStore(t, operation)
 		case "restart":
 			if m.now.Sub(restarted) > time.Second { // the others know what was published
 				m.restart(rapid.IntRange(0, len(m.balancers)-1).Draw(t, "balancer"))
