--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -194,7 +194,7 @@
 	}
 	drained := c.drains[failureDomain(b.vm)]
 	if !drained.IsZero() && now.After(drained.Add(drainWithin)) && undisturbed && c.undisturbedLocked(now, backendSubject(b.vm)) {
-		c.reportLocked(now, "evacuate", "%s received a new flow %s after the store acknowledged that %s is drained", b.id, now.Sub(drained), failureDomain(b.vm))
+		c.reportLocked(now, "drain_domain", "%s received a new flow %s after the store acknowledged that %s is drained", b.id, now.Sub(drained), failureDomain(b.vm))
 	}
 	c.checkVersionLocked(now, id, t, b, undisturbed)
 }
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -93,13 +93,13 @@
 			c.recordSent(start, id, 0)
 			c.checkPlacement(start, id, &instance{id: "i-3", drainingSince: start.Add(-drainWithin - time.Millisecond)})
 		}),
-		Entry("a backend server of a drained failure domain receives a new flow after drainWithin", "evacuate", storeSubject, func() {
+		Entry("a backend server of a drained failure domain receives a new flow after drainWithin", "drain_domain", storeSubject, func() {
 			c.beginDrain(failureDomain(b.vm))
 			c.recordDrained(start.Add(-drainWithin-time.Millisecond), failureDomain(b.vm))
 			c.recordSent(start, id, 0)
 			c.checkPlacement(start, id, b)
 		}),
-		Entry("the same behind an undisturbed agent", "evacuate", backendSubject(1), func() {
+		Entry("the same behind an undisturbed agent", "drain_domain", backendSubject(1), func() {
 			c.beginDrain(failureDomain(b.vm))
 			c.recordDrained(start.Add(-drainWithin-time.Millisecond), failureDomain(b.vm))
 			c.recordSent(start, id, 0)
