soak: replace an earlier build's processes by this one while the faults go on

Guarantees that the earlier build does not know (--previous-lacks) hold once it is replaced. make previous builds it from a commit.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,22 @@
 soak: build
 	go run ./cmd/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --processes $(PROCESSES)
 
+# The program of an earlier commit, bin/currantturn-COMMIT, and a soak that replaces its
+# processes by those of the present build; LACKS are the guarantees that it does not know.
+COMMIT ?=
+LACKS ?=
+.PHONY: previous soak-upgrade
+previous:
+	git rev-parse --verify --quiet "$(COMMIT)^{commit}" >/dev/null || { echo "COMMIT=$(COMMIT) is no commit" >&2; exit 2; }
+	rm -rf bin/worktree && git worktree prune
+	git worktree add --detach bin/worktree "$(COMMIT)"
+	cd bin/worktree && go build -o "../currantturn-$(COMMIT)" ./cmd/currantturn
+	git worktree remove --force bin/worktree
+
+soak-upgrade: build previous
+	go run ./cmd/soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --processes $(PROCESSES) --duration 20s \
+		--previous "bin/currantturn-$(COMMIT)" $(foreach guarantee,$(LACKS),--previous-lacks $(guarantee))
+
 # Scores and hunts of the regular sites; BENCH is the users' bench, PAGES the folder of their
 # pages, WHY the reason for the journal.
 BENCH ?=
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,10 +23,15 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "soak:", err)
-		os.Exit(1)
+	err := command().Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "soak:", err)
+	if errors.Is(err, soak.ErrOptions) {
+		os.Exit(2)
 	}
+	os.Exit(1)
 }
 
 func command() *cli.Command {
@@ -41,6 +46,8 @@
 			&cli.IntFlag{Name: "processes", Value: 12, Usage: "number of currantturn processes in each run"},
 			&cli.BoolFlag{Name: "regressions", Usage: "run the seeds that failed once instead of others"},
 			&cli.StringFlag{Name: "binary", Value: "bin/currantturn", Usage: "program under test"},
+			&cli.StringFlag{Name: "previous", Usage: "earlier build that all processes begin as, before they are replaced one by one"},
+			&cli.StringSliceFlag{Name: "previous-lacks", Usage: "guarantee that the earlier build does not know, checked once it is replaced everywhere"},
 			&cli.StringFlag{Name: "logs", Value: os.TempDir(), Usage: "directory for settings and logs; those of runs without violations are removed"},
 		},
 		Action: runSeeds,
@@ -98,13 +105,19 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create directory for settings and logs")
 	}
-	binary, err := filepath.Abs(c.String("binary"))
-	if err != nil {
+	o := soak.Options{
+		Seed: seed, Duration: c.Duration("duration"), Processes: c.Int("processes"), Dir: dir,
+		PreviousLacks: c.StringSlice("previous-lacks"),
+	}
+	if o.Binary, err = filepath.Abs(c.String("binary")); err != nil {
 		return nil, eris.Wrap(err, "resolve path of the program")
 	}
-	return soak.Run(ctx, soak.Options{
-		Seed: seed, Duration: c.Duration("duration"), Processes: c.Int("processes"), Binary: binary, Dir: dir,
-	})
+	if c.IsSet("previous") {
+		if o.Previous, err = filepath.Abs(c.String("previous")); err != nil {
+			return nil, eris.Wrap(err, "resolve path of the earlier build")
+		}
+	}
+	return soak.Run(ctx, o)
 }
 
 func printResult(r *soak.Result) {
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -16,6 +16,11 @@
 // String formats the flow as the programs' logs do.
 func (id flowID) String() string { return id.caller.String() + ">" + id.service.String() }
 
+// guarantees are the names of what the checker verifies.
+var guarantees = []string{
+	"flow", "mixed", "unasked", "route", "config", "regress", "drain", "drain_domain", "once", "recover", "service", "process",
+}
+
 // subject is a part of the system that a fault can disturb.
 type subject string
 
@@ -61,6 +66,8 @@
 	incarnationOf func(int) int           // current incarnation of a balancer
 	counts        map[string]uint64       // events by description
 	drains        map[string]time.Time    // when the store acknowledged that a failure domain is drained; zero before that
+	unknownBefore []string                // guarantees that an earlier build does not know
+	upgradedAt    time.Time               // when the last process of the earlier build was replaced; zero before that
 }
 
 // shownVersion is the newest version that a balancer has applied, as far as its
@@ -103,8 +110,20 @@
 	delete(c.drains, domain)
 }
 
-// reportLocked records a violation of the named guarantee.
+// recordUpgraded records that no process runs the earlier build any more.
+func (c *checker) recordUpgraded(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upgradedAt = now
+}
+
+// reportLocked records a violation of the named guarantee, unless an earlier build that
+// does not know it runs or ran within settleTime.
 func (c *checker) reportLocked(now time.Time, guarantee, format string, args ...any) {
+	if slices.Contains(c.unknownBefore, guarantee) && (c.upgradedAt.IsZero() || now.Sub(c.upgradedAt) < settleTime) {
+		c.counts[guarantee+" unknown to the earlier build"]++
+		return
+	}
 	c.violations = append(c.violations, now.Format("15:04:05.000 ")+guarantee+": "+fmt.Sprintf(format, args...))
 }
 
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -132,6 +132,23 @@
 		Expect(violation()).To(BeEmpty())
 	})
 
+	It("checks what an earlier build does not know only after it has been replaced", func() {
+		c.unknownBefore = []string{"drain_domain"}
+		b.drainingSince = start.Add(-drainWithin - time.Millisecond) // another guarantee, which it knows
+		c.beginDrain(failureDomain(b.vm))
+		c.recordDrained(start.Add(-drainWithin-time.Millisecond), failureDomain(b.vm))
+		place := func(at time.Duration) (violations int) {
+			c.recordSent(start.Add(at), id, 0)
+			c.checkPlacement(start.Add(at), id, b)
+			v, _ := c.results()
+			return len(v)
+		}
+		Expect(place(0)).To(Equal(1))
+		c.recordUpgraded(start)
+		Expect(place(settleTime - time.Millisecond)).To(Equal(2))
+		Expect(place(settleTime)).To(Equal(4))
+	})
+
 	It("counts a subject as disturbed until settleTime after its last fault", func() {
 		end := c.beginDisturbance(balancerSubject(3))
 		Expect(c.undisturbedLocked(start, balancerSubject(3))).To(BeFalse())
@@ -164,6 +181,30 @@
 	})
 })
 
+var _ = Describe("an upgrade", func() {
+	const balancers, agents = 4, 8
+	It("replaces every process, and takes half of them back for every second seed", func() {
+		orders := map[bool]bool{} // whether the first one replaced is a balancer
+		for seed := range uint64(12) {
+			earlier, last := 0, map[int]bool{}
+			at := time.Duration(0)
+			for _, step := range scheduleUpgrade(seed, 10*time.Second, balancers, agents) {
+				Expect(step.at).To(BeNumerically(">", at))
+				at, last[step.process] = step.at, step.earlier
+				if step.earlier {
+					earlier++
+				}
+			}
+			Expect(at).To(BeNumerically("<", 10*time.Second))
+			Expect(last).To(HaveLen(balancers + agents))
+			Expect(last).NotTo(ContainElement(true))
+			Expect(earlier).To(Equal(int(seed%2) * (balancers + agents) / 2))
+			orders[scheduleUpgrade(seed, time.Second, balancers, agents)[0].process < balancers] = true
+		}
+		Expect(orders).To(HaveLen(2))
+	})
+})
+
 var _ = Describe("a run", func() {
 	DescribeTable("rejects invalid options", func(o Options) {
 		_, err := Run(GinkgoT().Context(), o)
@@ -173,5 +214,10 @@
 		Entry("too many processes", Options{Processes: 2000, Duration: time.Second, Binary: "."}),
 		Entry("too short a duration", Options{Processes: 12, Duration: time.Millisecond, Binary: "."}),
 		Entry("a missing program", Options{Processes: 12, Duration: time.Second, Binary: "absent"}),
+		Entry("an earlier build that does not start", Options{Processes: 12, Duration: time.Second, Binary: "/bin/true", Previous: "/bin/false"}),
+		Entry("an unknown guarantee of the earlier build", Options{
+			Processes: 12, Duration: time.Second, Binary: "/bin/true", Previous: "/bin/true", PreviousLacks: []string{"speed"},
+		}),
+		Entry("guarantees of no earlier build", Options{Processes: 12, Duration: time.Second, Binary: "/bin/true", PreviousLacks: []string{"flow"}}),
 	)
 })
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,11 +13,12 @@
 
 // process runs one of the real programs, and can be restarted.
 type process struct {
-	name, role, binary    string
+	name, role            string
 	settingsPath, logPath string
 	reportFailure         func(reason string)
 
 	mu           sync.Mutex
+	binary       string // of the next start
 	cmd          *exec.Cmd
 	ended        chan struct{} // closed when the current process has ended
 	endExpected  bool          // the current process was killed or stopped
@@ -38,6 +39,13 @@
 	return eris.Wrap(os.WriteFile(p.settingsPath, []byte(settings), 0o600), "write settings")
 }
 
+// setBinary sets the program of the next start.
+func (p *process) setBinary(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.binary = path
+}
+
 // start starts the process unless it is running.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,7 +30,13 @@
 	Duration  time.Duration // time during which faults begin
 	Processes int           // balancers and agents
 	Binary    string        // path of the currantturn program
-	Dir       string        // directory for settings and logs
+	// Previous is the path of an earlier build that all processes begin as, before they are
+	// replaced one by one; empty if there is none.
+	Previous string
+	// PreviousLacks names the guarantees that the earlier build does not know. They are
+	// checked from settleTime after it has been replaced everywhere.
+	PreviousLacks []string
+	Dir           string // directory for settings and logs
 }
 
 // Bounds of the options.
@@ -46,10 +53,25 @@
 	case o.Duration < time.Second || o.Duration > maxDuration:
 		return eris.Wrapf(ErrOptions, "duration %s is out of range (1s to %s)", o.Duration, maxDuration)
 	}
-	if _, err := os.Stat(o.Binary); err != nil {
-		return eris.Wrap(ErrOptions, err.Error())
+	if len(o.PreviousLacks) > 0 && o.Previous == "" {
+		return eris.Wrap(ErrOptions, "there is no earlier build that could lack guarantees")
 	}
-	return nil
+	for _, g := range o.PreviousLacks {
+		if !slices.Contains(guarantees, g) {
+			return eris.Wrapf(ErrOptions, "%q is no guarantee; there are %s", g, strings.Join(guarantees, ", "))
+		}
+	}
+	if o.Previous != "" {
+		if err := checkProgram(o.Previous); err != nil {
+			return err
+		}
+	}
+	return checkProgram(o.Binary)
+}
+
+// firstBinary returns the program that processes begin as.
+func (o *Options) firstBinary() string {
+	return cmp.Or(o.Previous, o.Binary)
 }
 
 // balancers returns the number of processes that are balancers; the rest are agents.
@@ -117,6 +139,9 @@
 	}
 	r := &run{opts: o, net: n, pauseCounts: make(map[*process]int), storeModes: make([]platformtest.Mode, balancers)}
 	r.checker = newChecker(func(i int) int { incarnation, _ := r.balancers[i].state(); return incarnation })
+	if o.Previous != "" {
+		r.checker.unknownBefore = o.PreviousLacks
+	}
 	r.operator = &operator{net: n, store: platformtest.NewStore(), checker: r.checker}
 	r.links, err = newLinkProxy(n, o.Seed)
 	for i := 0; err == nil && i < balancers; i++ {
@@ -161,7 +186,7 @@
 		return err
 	}
 	r.storeProxies = append(r.storeProxies, p)
-	b := newProcess(r.opts.Dir, r.opts.Binary, fmt.Sprintf("balancer-%d", i), "flow_balancer", r.reportProcessFailure)
+	b := newProcess(r.opts.Dir, r.opts.firstBinary(), fmt.Sprintf("balancer-%d", i), "flow_balancer", r.reportProcessFailure)
 	r.balancers = append(r.balancers, b)
 	return b.configure(fmt.Sprintf(balancerSettings, b.name, failureDomain(i), r.net.address(storeProxyNet, i, storePort), applyWithin,
 		r.net.address(balancerNet, i, linkPort), r.net.address(balancerNet, i, readinessPort), r.net.address(balancerNet, i, metricsPort),
@@ -174,7 +199,7 @@
 	vm := newBackendVM(r.net, j, r.opts.Seed, r.checker)
 	r.vms = append(r.vms, vm)
 	b := r.operator.newInstance(time.Now(), j, j%serviceCount)
-	a := newProcess(r.opts.Dir, r.opts.Binary, fmt.Sprintf("agent-%d", j), "flow_agent", r.reportProcessFailure)
+	a := newProcess(r.opts.Dir, r.opts.firstBinary(), fmt.Sprintf("agent-%d", j), "flow_agent", r.reportProcessFailure)
 	r.agents = append(r.agents, a)
 	r.operator.register(b, "ready")
 	return errors.Join(vm.start(b), a.configure(r.agentSettings(j, b.service, true)))
@@ -277,6 +302,9 @@
 			}
 		})
 	}
+	if r.opts.Previous != "" {
+		faults.Go(func() { r.upgrade(ctx, start) })
+	}
 	faults.Wait()
 	r.awaitRecovery(ctx)
 	pause.For(ctx, 2*settleTime) // every subject counts as undisturbed for the second half
