statesync: a process that joins earlier builds follows a store that returned from a copy

Cause: the earlier builds know no eras and stay at revision 623 of the history before the restore. A new balancer that pulled their state before its first read of the store had that revision with an unknown era, and one that read the store first stamped it with the present era. Either way every listing of the store counted as older, until its revisions would have passed 623 again.

Now a state of unknown era loses its revision as soon as an era is known, and positions without an era are not compared from then on. Ruled out: letting a known era always come after an unknown one in Position.After, since agents compare denials by it, and there the higher revision is the safe side.

The spec fails before (version 48 for 50) and passes after.

--- a/internal/coordination/statesync/era.go
+++ b/internal/coordination/statesync/era.go
@@ -38,6 +38,10 @@
 	out.Event(event.StoreRestored, event.F("era", era), event.F("earlier", f.state.Era),
 		event.F("revision", f.state.Revision), event.F("age", now.Sub(f.confirmedAt)))
 	f.counts.Restored++
+	if f.state.Era == 0 {
+		// The revision is of an unknown history; as a later one it would hide the present.
+		f.state.Revision = 0
+	}
 	f.mustList, f.resumed = true, false
 	f.trustedFrom, f.lapsedUntil = now.Add(lapseGrace), now.Add(lapseGrace)
 	f.beginVerification(now)
@@ -131,9 +135,9 @@
 }
 
 // fromEarlierEra reports whether a peer's position can't be compared with the own one: its
-// process does not know of eras, and the revisions may be of either.
+// process does not know of eras, and its revision may be of an earlier one.
 func (f *Feed) fromEarlierEra(p currantturn.Position) bool {
-	return p.Era == 0 && (f.era.linked != 0 || f.counts.Restored > 0)
+	return p.Era == 0 && f.era.latest != 0
 }
 
 // placementHeld reports whether new flows have to wait for a peer's state: the own one was
--- a/internal/coordination/statesync/era_test.go
+++ b/internal/coordination/statesync/era_test.go
@@ -247,4 +247,35 @@
 			Expect(f.placeable(i)).To(Equal([]currantturn.BackendID{"b"}))
 		}
 	})
+
+	// The earlier processes stay at a revision of the earlier history, which the store reaches
+	// again much later. The joining one may hear of them before or after the store.
+	It("is followed by a process that joins processes that do not know of eras", func() {
+		for n := range 20 {
+			f := newHistoryFleet(4)
+			f.withoutEras = func(n int) bool { return n > 0 }
+			f.withoutDrains = f.withoutEras // they are from before both
+			for i := 1; i < 4; i++ {
+				f.restart(i)
+			}
+			f.run(2 * time.Second)
+			copied := f.store.copied()
+			for n := range 40 {
+				f.store.configure(currantturn.Version(9 + n))
+			}
+			f.run(time.Second)
+			f.store.restore(copied)
+			f.store.configure(50)
+			f.run(2*time.Second + time.Duration(n)*tickInterval)
+			f.store.away = n%2 == 1
+			f.restart(0)
+			f.run(200 * time.Millisecond)
+			f.store.away = false
+			f.run(time.Second)
+			Expect(f.versions()[0]).To(Equal(currantturn.Version(50)))
+			f.store.configure(51)
+			f.run(time.Second)
+			Expect(f.versions()[0]).To(Equal(currantturn.Version(51)))
+		}
+	})
 })
