flowbalancer, flowagent: fewer allocations and look-ups per packet

Profile of a known flow at a balancer: hashing the flow's key for shard and map 45 %, the envelope 16 %, decoding 11 %, the look-up of the holder's target 9.5 %. Of a new flow: six allocations for the event, five for the candidates, four by the benchmark itself.

The holder's target belongs to the present plan in nearly all packets, and is recognised by the plan's number. The lists of candidates keep their memory from choice to choice. At an agent, a position that is not newer no longer escapes to the heap.

--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -69,7 +69,11 @@
 func (a *Agent) updatePosition(p currantturn.Position) {
 	for {
 		old := a.position.Load()
-		if !p.After(*old) || a.position.CompareAndSwap(old, &p) {
+		if !p.After(*old) {
+			return
+		}
+		newer := p // only this copy escapes to the heap
+		if a.position.CompareAndSwap(old, &newer) {
 			return
 		}
 	}
--- a/internal/coordination/flowbalancer/balancer.go
+++ b/internal/coordination/flowbalancer/balancer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/coordination/placement"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
 	"github.com/currantturn/currantturn/internal/protocol/relay"
@@ -67,7 +68,10 @@
 	sweepNumber int       // number of the last sweep of the flow table
 	lastProbe   time.Time
 	drains      drains
-	counts      counts
+	// targets and candidates are the memory of the last choice, for the next one.
+	targets    []*target
+	candidates []placement.Candidate
+	counts     counts
 }
 
 // counts are the values of Counters, updated concurrently.
--- a/internal/coordination/flowbalancer/choose.go
+++ b/internal/coordination/flowbalancer/choose.go
@@ -44,14 +44,13 @@
 
 // chooseAmong returns the best of the targets that have not been tried, or nil if there
 // is none. It considers only the highest-ranked ones, so that searches find the flow
-// quickly, unless all of these were tried or are to be avoided.
+// quickly, unless all of these were tried or are to be avoided. The caller holds b.mu.
 func (b *Balancer) chooseAmong(
 	now time.Time, placeable []*target, flow currantturn.FlowKey, tried []currantturn.BackendID, out *currantturn.Effects,
 ) (*target, placement.Candidate) {
 	usual := b.usualTimes(now, placeable)
 	for _, group := range [][]*target{highestRanked(placeable, flow, placementCandidates), placeable} {
-		var targets []*target
-		var candidates []placement.Candidate
+		targets, candidates := b.targets[:0], b.candidates[:0]
 		for _, t := range group {
 			c := t.candidate(now, b.opts.Domain, usual)
 			if slices.Contains(tried, t.entry.ID) || t.declines(now) || b.drains.learned(now, t.entry.FailureDomain) ||
@@ -61,6 +60,7 @@
 			targets = append(targets, t)
 			candidates = append(candidates, c)
 		}
+		b.targets, b.candidates = targets, candidates // keeps the memory
 		usualTime := placement.UsualServiceTime(candidates)
 		reportSpeedChanges(now, targets, candidates, usualTime, out)
 		if best := placement.Choose(b.rng, candidates, usualTime); best >= 0 {
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -34,6 +34,15 @@
 	routedTargets   []*target                                    // those of them whose service is routed
 	gone            []*target                                    // those of them without a registration
 	byAgent         map[netip.AddrPort]*target                   // by link address
+	number          uint64                                       // of the plans of this process
+}
+
+// nextNumber returns the number of the plan after p, which may be nil.
+func (p *plan) nextNumber() uint64 {
+	if p == nil {
+		return 1
+	}
+	return p.number + 1
 }
 
 // newPlan builds a plan and carries the targets' state over from the old one, which
@@ -54,6 +63,7 @@
 		placeable:       make(map[currantturn.ServiceName][]*target),
 		byService:       make(map[currantturn.ServiceName][]*target),
 		byAgent:         make(map[netip.AddrPort]*target),
+		number:          old.nextNumber(),
 	}
 	if source.Routing != nil {
 		for i := range source.Routing.Routes {
--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -99,8 +99,8 @@
 // currentHolder returns the target of the entry's holder in the present plan, or nil
 // if the holder has to be searched for.
 func (b *Balancer) currentHolder(p *plan, e *entry) *target {
-	if e.holder == nil {
-		return nil
+	if e.holder == nil || e.holder.planNumber == p.number {
+		return e.holder // none, or one of the present plan
 	}
 	t := p.byAgent[e.holder.agent]
 	if t == nil || t.entry.ID != e.holder.entry.ID && !e.holder.unregistered {
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -18,6 +18,9 @@
 	entry roster.Entry
 	agent netip.AddrPort // link address of the agent
 	seed  uint64         // hash of the ID, which ranks the target for flows
+	// planNumber is that of the plan that the target belongs to. A reference would keep the
+	// plan in memory as long as a flow refers to the target.
+	planNumber uint64
 	// unregistered is true for an announced agent without a registration. It is trusted
 	// for nothing but the flows that it reports to hold.
 	unregistered bool
@@ -204,7 +207,7 @@
 // newTarget returns the target of a registration. It carries over the state of the
 // target in the old plan if that is the same incarnation.
 func newTarget(now time.Time, e *roster.Entry, agent netip.AddrPort, old *plan) *target {
-	t := &target{entry: *e, agent: agent, seed: rank.Seed(e.ID)}
+	t := &target{entry: *e, agent: agent, seed: rank.Seed(e.ID), planNumber: old.nextNumber()}
 	if e.WarmUpRemaining > 0 {
 		t.warmUpUntil = now.Add(e.WarmUpRemaining)
 	}
