flowagent: play servers that leave requests unanswered; freeing their slots early is not kept

Hypothesis: a request that is never answered holds its slot for two seconds, and others on open flows of that server wait for it until they are given up. Tried: a request that takes four times the time of its kind frees its slot, and still counts in the load.

--- a/internal/coordination/flowagent/overload_simulation_test.go
+++ b/internal/coordination/flowagent/overload_simulation_test.go
@@ -38,10 +38,19 @@
 	usual  float64 // load relative to the capacity
 	burst  float64
 	greedy float64 // share of the requests that one caller sends, on new flows
+	silent silence
 	// direct delivers every request at once, so that only the servers' queues decide.
 	direct bool
 }
 
+// silence is a fault of a number of servers during the burst: they never answer a share of
+// their requests, which may hold their slots.
+type silence struct {
+	servers int
+	share   float64
+	hold    bool
+}
+
 // outcome counts what callers got.
 type outcome struct{ timely, late, none int }
 
@@ -75,6 +84,7 @@
 type testServer struct {
 	agent   *flowagent.Agent
 	speed   float64
+	silent  bool
 	running int
 	busy    int
 	queued  []*testFlow
@@ -134,9 +144,9 @@
 	for i := range r.kinds {
 		mean += r.kinds[i].weight * r.kinds[i].work.Seconds()
 	}
-	for _, s := range r.speeds {
+	for i, s := range r.speeds {
 		capacity += float64(r.slots) / (mean * s)
-		r.servers = append(r.servers, &testServer{speed: s, held: map[netip.AddrPort]*testFlow{}, idle: map[netip.AddrPort][]*testFlow{}, agent: flowagent.New(flowagent.Options{
+		r.servers = append(r.servers, &testServer{speed: s, silent: i < r.silent.servers, held: map[netip.AddrPort]*testFlow{}, idle: map[netip.AddrPort][]*testFlow{}, agent: flowagent.New(flowagent.Options{
 			Codec: platform.Packets{}, Service: "verify", Backend: "verify-0", LinkPort: 7120, Started: start, Fresh: true,
 		})})
 	}
@@ -152,7 +162,7 @@
 	arrival := start
 	for ; r.now.Before(end); r.now = r.now.Add(time.Millisecond) {
 		rate := r.usual * capacity
-		if r.now.After(start.Add(warmUp)) && r.now.Before(start.Add(warmUp+burstTime)) {
+		if r.bursting() {
 			rate = r.burst * capacity
 		}
 		for ; !arrival.After(r.now) && r.now.Before(end.Add(-2*time.Second)); arrival = arrival.Add(time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))) {
@@ -173,6 +183,11 @@
 	}
 }
 
+// bursting reports whether the burst lasts.
+func (r *overloadRun) bursting() bool {
+	return r.now.After(start.Add(warmUp)) && r.now.Before(start.Add(warmUp+burstTime))
+}
+
 // after schedules a function.
 func (r *overloadRun) after(d time.Duration, f func()) {
 	at := r.now.Add(max(d.Truncate(time.Millisecond), time.Millisecond))
@@ -302,6 +317,10 @@
 	if r.rng.Float64() < 0.03 {
 		work *= 7
 	}
+	silent := s.silent && r.bursting() && r.rng.Float64() < r.silent.share
+	if silent && r.silent.hold {
+		return
+	}
 	r.after(time.Duration(work*float64(time.Second)), func() {
 		s.running--
 		if len(s.queued) > 0 {
@@ -309,6 +328,9 @@
 			s.queued = s.queued[1:]
 			r.run(next)
 		}
+		if silent {
+			return
+		}
 		r.answered(f, false)
 	})
 }
--- a/internal/coordination/flowagent/overload_test.go
+++ b/internal/coordination/flowagent/overload_test.go
@@ -1,6 +1,7 @@
 package flowagent_test
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -23,6 +24,9 @@
 	}
 }
 
+// alike returns the speeds of n servers of equal speed.
+func alike(n int) []float64 { return slices.Repeat([]float64{1}, n) }
+
 // even and uneven are servers of equal and of different speed.
 var (
 	even   = []float64{1, 1, 1, 1}
@@ -73,4 +77,25 @@
 		Expect(r.kinds[1].timelyShare()).To(BeNumerically(">=", 0.85))
 		Expect(r.kinds[0].timelyShare()).To(BeNumerically(">=", 0.6))
 	})
+
+	// A request without an answer must not hold a slot that others wait for until they are
+	// given up.
+	DescribeTable("answer what servers that leave some requests unanswered can do", func(l overload, none, worth float64) {
+		r := l.play()
+		GinkgoWriter.Printf("%+v\n", *r)
+		Expect(r.worth).To(BeNumerically(">=", worth))
+		lost, all := 0, 0
+		for _, o := range r.kinds {
+			lost += o.none
+			all += o.timely + o.late + o.none
+		}
+		Expect(float64(lost) / float64(all)).To(BeNumerically("<=", none))
+	},
+		Entry("at usual load, a quarter of them with half of the requests",
+			overload{kinds: kinds(0.2), speeds: alike(8), slots: 2, queue: 8, usual: 0.6, burst: 0.6, silent: silence{servers: 2, share: 0.5}}, 0.1, 0.9),
+		Entry("in a burst",
+			overload{kinds: kinds(0.2), speeds: alike(8), slots: 2, queue: 8, usual: 0.5, burst: 1.1, silent: silence{servers: 2, share: 0.5}}, 0.2, 0.5),
+		Entry("that hold their slots",
+			overload{kinds: kinds(0.2), speeds: alike(8), slots: 2, queue: 8, usual: 0.6, burst: 0.6, silent: silence{servers: 2, share: 0.1, hold: true}}, 0.1, 0.9),
+	)
 })
