relay, flowagent: read what earlier builds write

- Their queries have a field that today's agents refused as unknown, so that a search of such a balancer got no answer.
The field is read and not used.
- Their packets carry that age, in milliseconds, where the era stands now.
An agent now takes an era only from a balancer that has shown, by the prefix of an opening packet, that it is a later build.

--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -20,20 +20,22 @@
 }
 
 // recordBalancer records a packet from a balancer, so that reports are sent to
-// it. At most maxBalancers are recorded.
-func (a *Agent) recordBalancer(now time.Time, from netip.AddrPort) {
+// it. It returns whether the balancer has shown that it reads all fields of a load. At most
+// maxBalancers are recorded.
+func (a *Agent) recordBalancer(now time.Time, from netip.AddrPort) (readsLoads bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	receiver := a.balancers[from]
 	if receiver == nil {
 		if len(a.balancers) >= maxBalancers {
-			return
+			return false
 		}
 		receiver = &reportReceiver{}
 		a.balancers[from] = receiver
 	}
 	receiver.lastReceived = now
 	a.announcer.recordReceived(now)
+	return receiver.readsLoads
 }
 
 // recordReadsLoads records that a balancer reads all fields of a load.
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -25,12 +25,15 @@
 	if e.Balancer.IsValid() { // forwarded by another agent
 		from = netip.AddrPortFrom(e.Balancer.Addr(), a.opts.LinkPort)
 	}
-	a.recordBalancer(now, from)
+	position := e.Position
+	if !a.recordBalancer(now, from) && !e.ReadsLoads {
+		position.Era = 0 // an early build writes the age of the backend server there
+	}
 	if e.ReadsLoads {
 		a.recordReadsLoads(from)
 	}
-	a.updatePosition(e.Position)
-	a.learnWarmUp(now, from, e.Position, e.Warming)
+	a.updatePosition(position)
+	a.learnWarmUp(now, from, position, e.Warming)
 	a.forwardSearch(from, e, out)
 	in := &inboundPacket{now: now, from: from, intent: e.Intent, demand: e.Demand, packet: &e.Packet, out: out}
 	if e.Service != a.Service() && e.Intent != currantturn.IntentSearch {
--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -73,6 +73,8 @@
 	Flows    Flows  `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"` // of the newest published state that the balancer has received
 	Era      uint64 `cbor:"20,keyasint,omitempty"`
+	// Unused was the age of the backend server in earlier builds, which write it always.
+	Unused uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Position returns the position of the newest state that the sender has received.
