flowagent: a new era takes the place of a higher revision of an unknown one

Since eras are taken only from balancers that have shown that they write them, a first packet of a later balancer can leave a position of unknown era at an agent. After a store returned from a copy, its revision would have hidden the present one until it was reached again. Within one era the higher revision still stays: a denial with a lower one might be taken as proof by a balancer that lacks the holder.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -43,7 +43,7 @@
 	opts    Options
 	service atomic.Pointer[currantturn.ServiceName]
 	// position is the newest position of the published state received from any balancer.
-	position     atomic.Pointer[currantturn.Position]
+	position     atomic.Pointer[heardPosition]
 	flows        *shard.Map[currantturn.FlowKey, flowRecord]
 	tracker      loadTracker
 	waitTimes    *metric.Histogram // from the start of a caller's attempt until its request runs, if it had to wait
@@ -120,7 +120,7 @@
 		}),
 	}
 	a.SetService(opts.Service)
-	a.position.Store(&currantturn.Position{})
+	a.position.Store(&heardPosition{})
 	return a
 }
 
@@ -345,6 +345,6 @@
 func (a *Agent) returnToBalancer(to netip.AddrPort, intent currantturn.Intent, packet []byte, out *currantturn.Effects) {
 	out.Forwards = append(out.Forwards, currantturn.Forward{To: to, Envelope: currantturn.Envelope{
 		Direction: currantturn.ToCaller, Intent: intent, Service: a.Service(),
-		Packet: currantturn.Packet{Payload: packet}, Position: *a.position.Load(),
+		Packet: currantturn.Packet{Payload: packet}, Position: a.position.Load().Position,
 	}})
 }
--- a/internal/coordination/flowagent/earlier_builds_test.go
+++ b/internal/coordination/flowagent/earlier_builds_test.go
@@ -37,4 +37,14 @@
 		learn(balancer, currantturn.IntentHeld, currantturn.Position{Era: 3, Revision: 7})
 		Expect(reported()).To(Equal(currantturn.Position{Era: 3, Revision: 7}))
 	})
+
+	It("takes a new era in place of a higher revision of an unknown one", func() {
+		learn(balancer, currantturn.IntentPlace, currantturn.Position{Era: 1, Revision: 600})
+		learn(earlier, currantturn.IntentHeld, currantturn.Position{Revision: 623})
+		Expect(reported()).To(Equal(currantturn.Position{Revision: 623}))
+		learn(balancer, currantturn.IntentHeld, currantturn.Position{Era: 1, Revision: 610})
+		Expect(reported()).To(Equal(currantturn.Position{Revision: 623}), "the higher revision is the safe side")
+		learn(balancer, currantturn.IntentHeld, currantturn.Position{Era: 2, Revision: 40})
+		Expect(reported()).To(Equal(currantturn.Position{Era: 2, Revision: 40}))
+	})
 })
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -66,17 +66,22 @@
 	}
 }
 
+// heardPosition is the newest position that the agent has heard of.
+type heardPosition struct {
+	currantturn.Position
+	highestEra uint64 // of all that it has heard of; the position may be of an unknown era
+}
+
 // updatePosition stores the newest position received from balancers. Replies to
 // balancers carry it: with an older one, a balancer may lack the backend server that
-// holds the flow.
+// holds the flow. A new era takes the place of any position, also of one of unknown era.
 func (a *Agent) updatePosition(p currantturn.Position) {
 	for {
 		old := a.position.Load()
-		if !p.After(*old) {
+		if p.Era <= old.highestEra && !p.After(old.Position) {
 			return
 		}
-		newer := p // only this copy escapes to the heap
-		if a.position.CompareAndSwap(old, &newer) {
+		if a.position.CompareAndSwap(old, &heardPosition{Position: p, highestEra: max(p.Era, old.highestEra)}) {
 			return
 		}
 	}
