--- a/internal/command/constants.go
+++ b/internal/command/constants.go
@@ -5,6 +5,13 @@
 // Release is the version of the program.
 const Release = "0.1.0"
 
+const (
+	// unknownRevision stands for the commit of a program that was built outside a checkout.
+	unknownRevision = "unknown"
+	// revisionDigits is the number of digits of a commit that are shown.
+	revisionDigits = 12
+)
+
 // Exit codes of every command.
 const (
 	ExitOK       = 0
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -74,7 +74,7 @@
 	defer stopReporting()
 	go reportDroppedLines(reportCtx, takeDropped, report)
 	linkAddress := cmp.Or(o.Link.Address, o.Relay.LinkAddress) // each role sets only one of them
-	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("address", linkAddress))
+	report(event.ProcessStarted, event.F("role", o.Process.Role), event.F("version", Release), event.F("build", buildRevision()), event.F("address", linkAddress))
 	started := p.Now()
 	err := p.supervise(ctx, path, o, logger, report, hook)
 	if err != nil {
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -15,7 +15,7 @@
 )
 
 var processDefinitions = []Definition{
-	{ProcessStarted, "process_started", Info, "process started", fields("role version address")},
+	{ProcessStarted, "process_started", Info, "process started", fields("role version build address")},
 	{ProcessReady, "process_ready", Info, "process serves traffic", fields("configuration_version")},
 	{ShutdownStarted, "shutdown_started", Info, "graceful shutdown started", fields("grace")},
 	{ShutdownForced, "shutdown_forced", Warning, "second signal received; stopping at once", fields("requests flows")},
