flowagent: a backend server that resets its requests gets no new flows but trials

Cause: three backend servers go down and up for five seconds. While down they accept flows and reset them on the first data. Nothing told them apart: openings are answered, and speeds and early answers need answers.

Now three requests in a row that the backend server resets, with no answer in between, make it count as failing: its agent declines new flows but for one in 250 ms, and says so to balancers as for a backend server that does not answer. Any answer ends it. Earlier balancers read it too.

Ruled out: that the agents' backlog loses them (waits under 0.1 s), and killed agents, on whose 35 unanswered openings other backend servers were tried.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -60,9 +60,10 @@
 	announcer          announcer
 	unansweredOpenings int       // consecutive opening packets without an answer
 	unresponsiveSince  time.Time // when the backend server became unresponsive; zero if it is not
-	lastRetry          time.Time // when an unresponsive backend server was last sent an opening packet
-	loggedLimit        int       // limit on requests at once in the last event; 0 if it is the slots
-	sweepNumber        int       // number of the last sweep of the flow table
+	lastRetry          time.Time // when an unresponsive or failing backend server was last sent an opening packet
+	failures           failures
+	loggedLimit        int // limit on requests at once in the last event; 0 if it is the slots
+	sweepNumber        int // number of the last sweep of the flow table
 	// denials are the searched flows that are not held here, for the next message to
 	// each balancer.
 	denials      map[netip.AddrPort]relay.Flows
@@ -326,11 +327,11 @@
 }
 
 // mayDeliverOpening reports whether an opening packet may be delivered now. An
-// unresponsive backend server gets one per retryInterval.
+// unresponsive or failing backend server gets one per retryInterval.
 func (a *Agent) mayDeliverOpening(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.unresponsiveSince.IsZero() {
+	if a.unresponsiveSince.IsZero() && !a.failures.failing {
 		return true
 	}
 	if now.Sub(a.lastRetry) < retryInterval {
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -68,10 +68,14 @@
 		a.serviceTimes.Record(now.Sub(r.requestStarted))
 		a.tracker.requestAnswered(now, p.Flow, r.requestStarted)
 		a.recordProgress(now)
+		a.recordAnswered(out)
 		r.requestStarted = time.Time{}
 	}
 	switch p.Mark {
 	case currantturn.MarkReset:
+		if !r.requestStarted.IsZero() {
+			a.recordFailed(out)
+		}
 		a.close(now, p.Flow, r)
 	case currantturn.MarkClosing:
 		a.recordClosing(now, p.Flow, r, closedByBackend)
--- a/internal/coordination/flowagent/constants.go
+++ b/internal/coordination/flowagent/constants.go
@@ -12,8 +12,12 @@
 	// with no other packet from the backend server in between, after which it
 	// counts as unresponsive.
 	unresponsiveThreshold = 2
-	// retryInterval is the interval at which an unresponsive backend server is sent
-	// one opening packet, to detect its recovery.
+	// failingThreshold is the number of consecutive requests that the backend server reset,
+	// with no answer in between, after which it counts as failing. Single resets occur when
+	// a request and the end of its flow cross.
+	failingThreshold = 3
+	// retryInterval is the interval at which an unresponsive or failing backend server is
+	// sent one opening packet, to detect its recovery.
 	retryInterval = 250 * time.Millisecond
 	// flowLifetime is how long the record of an idle flow is kept. An agent that
 	// has run longer has a record of every flow of its backend server.
--- a/internal/coordination/flowagent/report.go
+++ b/internal/coordination/flowagent/report.go
@@ -48,12 +48,12 @@
 }
 
 // currentLoad returns the current load, with the length of the backlog and whether
-// the backend server is unresponsive.
+// the backend server is unresponsive or fails.
 func (a *Agent) currentLoad(now time.Time) relay.Load {
 	load := a.tracker.load(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	load.Unresponsive = !a.unresponsiveSince.IsZero()
+	load.Unresponsive = !a.unresponsiveSince.IsZero() || a.failures.failing
 	load.Waiting = a.backlog.Len()
 	load.DeclinesMS = a.declinesMS(now)
 	return load
--- a/internal/event/opaque_flow.go
+++ b/internal/event/opaque_flow.go
@@ -25,6 +25,7 @@
 	BackendDrained   = 841
 	BackendRestored  = 842
 	BackendLimit     = 845
+	BackendFails     = 846
 	BackendCold      = 851
 	BackendWarm      = 852
 )
@@ -37,6 +38,7 @@
 	{FlowForgotten, "flow_forgotten", Info, "backend server no longer holds an open flow; a reset was sent to the caller", fields("flow backend")},
 	{BackendSilent, "backend_silent", Warning, "backend server does not answer opening packets", fields("backend unanswered waited")},
 	{BackendAnswers, "backend_answers", Info, "backend server answers again", fields("backend")},
+	{BackendFails, "backend_fails", Warning, "backend server resets requests instead of answering them; new flows go elsewhere", fields("backend resets")},
 	{BackendSlow, "backend_slow", Warning, "backend server is slower than the others; it is treated as busier", fields("backend slowness service_time usual age")},
 	{BackendUsual, "backend_usual", Info, "backend server is about as fast as the others again", fields("backend slowness service_time usual age")},
 	{BackendLimit, "backend_limit", Info, "agent runs another number of requests at once, since more would not raise the rate of answers, or would again", fields("backend limit slots")},
