--- a/internal/protocol/relay/message.go
+++ b/internal/protocol/relay/message.go
@@ -13,7 +13,7 @@
 	Running       int    `cbor:"1,keyasint"` // requests in progress
 	Flows         int    `cbor:"2,keyasint"` // open flows
 	ServiceTimeUS uint32 `cbor:"3,keyasint"` // mean service time of recent requests, microseconds
-	Unresponsive  bool   `cbor:"4,keyasint"` // the backend server does not answer
+	Unresponsive  bool   `cbor:"4,keyasint"` // the backend server does not answer, or resets its requests
 	Waiting       int    `cbor:"5,keyasint"` // requests that are queued for a slot
 	// The fields below are sent only to balancers that have shown to read them, since
 	// earlier ones refuse messages with unknown fields.
