--- a/review/deployment/deployment.go
+++ b/review/deployment/deployment.go
@@ -25,6 +25,7 @@
 	Services    []string // of the host beside each agent; empty for an agent without a host yet
 	AgentOf     []string // service in the settings of each agent
 	ApplyWithin time.Duration
+	Work        time.Duration // of a request; 0 means 10 ms
 }
 
 // Deployment is a running deployment.
--- a/review/deployment/host.go
+++ b/review/deployment/host.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	h := &Host{
-		ID: fmt.Sprintf("i-%08x", rand.Uint32()), Service: service, Index: j, d: d, work: 10 * time.Millisecond, born: time.Now(),
+		ID: fmt.Sprintf("i-%08x", rand.Uint32()), Service: service, Index: j, d: d, work: cmp.Or(d.opts.Work, 10*time.Millisecond), born: time.Now(),
 		slots: make(chan struct{}, slotsPerHost), conn: conn, health: health, flows: make(map[FlowID]*hostedFlow),
 	}
 	d.mu.Lock()
