--- a/review/1/main.go
+++ b/review/1/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantturn/currantturn/review/deployment"
@@ -12,9 +13,11 @@
 
 const (
 	service = "lookup-core"
-	vms     = 12 // with a host each
+	vms     = 18 // with a host each
 	// leaving is the number of hosts that are taken away.
 	leaving = 6
+	// work is the longest time of a correction-post of the site.
+	work = 120 * time.Millisecond
 	// cut is how long the readers are cut off from the store.
 	cut = 5 * time.Second
 	// drain is drain_timeout_ms and settle is settle_window_ms of the site.
@@ -33,7 +36,7 @@
 	}
 	d, err := deployment.Start(deployment.Options{
 		Folder: "review/1", Binary: deployment.Program(), Balancers: 6, Services: services, AgentOf: services,
-		ApplyWithin: 5 * time.Second,
+		ApplyWithin: 5 * time.Second, Work: work,
 	}, deployment.Config(1, service))
 	if err != nil {
 		return nil, err
@@ -60,15 +63,17 @@
 		}
 	}
 	d.Record.Note("%d hosts of other zones are draining", len(gone))
-	end := start.Add(drain + serveOn)
-	callers, err := openFlows(d, end)
+	hostsEnd := drain + serveOn
+	callers, err := openFlows(d, start.Add(hostsEnd+time.Second))
 	if err != nil {
 		return nil, err
 	}
-	callers.Wait()
+	deployment.Until(start, hostsEnd)
 	for _, h := range gone {
 		h.End()
 	}
+	callers.all.Wait()
+	d.Record.Note("%d requests on open flows were not answered", callers.lost.Load())
 	// By this time, all VMs are in touch.
 	calm := start.Add(cut + settle + 100*time.Millisecond)
 	for _, h := range gone {
@@ -82,24 +87,36 @@
 	return broken, nil
 }
 
+// callers open flows.
+type callers struct {
+	all  sync.WaitGroup
+	lost atomic.Int64 // requests on open flows without an answer
+}
+
 // openFlows opens flows of one request each until the end.
-func openFlows(d *deployment.Deployment, end time.Time) (*sync.WaitGroup, error) {
+func openFlows(d *deployment.Deployment, end time.Time) (*callers, error) {
 	c, err := d.NewCaller()
 	if err != nil {
 		return nil, err
 	}
-	var all sync.WaitGroup
-	all.Go(func() {
+	var w callers
+	w.all.Go(func() {
 		for time.Now().Before(end) {
-			all.Go(func() {
-				f, outcome := c.Open(d.ServiceAddress(0))
-				if outcome == deployment.Opened {
-					f.Request(time.Second)
-					f.Close()
-				}
-			})
-			time.Sleep(25 * time.Millisecond)
+			w.all.Go(func() { w.request(d, c) })
+			time.Sleep(12 * time.Millisecond)
 		}
 	})
-	return &all, nil
+	return &w, nil
+}
+
+// request sends a request on a flow of its own.
+func (w *callers) request(d *deployment.Deployment, c *deployment.Caller) {
+	f, outcome := c.Open(d.ServiceAddress(0))
+	if outcome != deployment.Opened {
+		return
+	}
+	if _, ok := f.Request(time.Second); !ok {
+		w.lost.Add(1)
+	}
+	f.Close()
 }
