statesync: event 814 when a heartbeat brings the published state to a newer revision

Seven revisions came in one heartbeat that holds one order only. Ruled out: pulled states (no 807 between), and the plan (812 shows the state in force).

--- a/internal/coordination/statesync/drained_test.go
+++ b/internal/coordination/statesync/drained_test.go
@@ -272,13 +272,13 @@
 		peer := netip.MustParseAddrPort("10.0.0.9:7120")
 		h := statesync.Heartbeat{Position: b.feed.State(f.now).Position, Version: 8}
 		h.Revision++
-		Expect(b.feed.HandleHeartbeat(f.now, peer, h)).To(Equal(statesync.OutcomeNone))
+		Expect(b.feed.HandleHeartbeat(f.now, peer, h, &currantturn.Effects{})).To(Equal(statesync.OutcomeNone))
 		f.store.away = true
 		f.run(applyWithin)
-		Expect(b.feed.HandleHeartbeat(f.now, peer, h)).To(Equal(statesync.OutcomePull))
+		Expect(b.feed.HandleHeartbeat(f.now, peer, h, &currantturn.Effects{})).To(Equal(statesync.OutcomePull))
 		h.Peers = []netip.AddrPort{peer}
 		f.store.away = false
 		f.run(time.Second)
-		Expect(b.feed.HandleHeartbeat(f.now, peer, h)).To(Equal(statesync.OutcomePull))
+		Expect(b.feed.HandleHeartbeat(f.now, peer, h, &currantturn.Effects{})).To(Equal(statesync.OutcomePull))
 	})
 })
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -154,7 +154,7 @@
 			encoded, err := message.Encode(h)
 			Expect(err).NotTo(HaveOccurred())
 			f.largestHeartbeat = max(f.largestHeartbeat, len(encoded))
-			if receiver.feed.HandleHeartbeat(f.now, b.addr, h) == statesync.OutcomePull {
+			if receiver.feed.HandleHeartbeat(f.now, b.addr, h, &out) == statesync.OutcomePull {
 				receiver.feed.ApplyPulled(f.now, state, &out)
 				f.pulls++
 			}
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -55,7 +55,7 @@
 }
 
 // HandleHeartbeat processes a peer's heartbeat.
-func (f *Feed) HandleHeartbeat(now time.Time, from netip.AddrPort, h Heartbeat) Outcome {
+func (f *Feed) HandleHeartbeat(now time.Time, from netip.AddrPort, h Heartbeat, out *currantturn.Effects) Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now.Sub(f.peers[from].lastReceived) >= peerTimeout && len(f.greet) < heartbeatFanout {
@@ -81,6 +81,8 @@
 			return OutcomePull
 		}
 		f.applyChange(now, h)
+		out.Event(event.ChangeReceived, event.F("peer", from), event.F("since", h.Since), event.F("era", h.Era),
+			event.F("revision", h.Revision), event.F("servers", len(h.Changed)), event.F("orders", len(h.Orders)))
 		f.confirm(now, h.AgeMS)
 		return OutcomeChanged
 	}
--- a/internal/core/flow_balancer.go
+++ b/internal/core/flow_balancer.go
@@ -150,7 +150,9 @@
 // handleHeartbeat passes another balancer's heartbeat to the feed, and pulls that
 // balancer's state if it is newer and the heartbeat does not hold all changes.
 func (b *FlowBalancer) handleHeartbeat(from netip.AddrPort, h statesync.Heartbeat) {
-	switch b.feed.HandleHeartbeat(b.node.clock(), from, h) {
+	var outcome statesync.Outcome
+	b.node.decide(func(now time.Time, out *currantturn.Effects) { outcome = b.feed.HandleHeartbeat(now, from, h, out) })
+	switch outcome {
 	case statesync.OutcomeChanged:
 		b.stateChanged.Store(true)
 	case statesync.OutcomePull:
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -16,6 +16,7 @@
 	StoreRestored          = 811
 	DomainDrained          = 812
 	DomainRestored         = 813
+	ChangeReceived         = 814
 )
 
 var stateSyncDefinitions = []Definition{
@@ -32,4 +33,5 @@
 	{AgentsAnnounced, "agents_announced", Warning, "nothing is published yet; flows are searched for among agents that announced themselves, and new ones go only to agents that hold flows of their address", fields("agents")},
 	{DomainDrained, "domain_drained", Info, "operator drains a failure domain: its backend servers get no new flows; without backend servers the order has no effect", fields("domain servers era revision")},
 	{DomainRestored, "domain_restored", Info, "operator has taken a failure domain back: its backend servers get new flows again", fields("domain servers era revision")},
+	{ChangeReceived, "change_received", Info, "another balancer's heartbeat brought the published state to a newer revision", fields("peer since era revision servers orders")},
 }
