--- a/internal/coordination/flowbalancer/held_test.go
+++ b/internal/coordination/flowbalancer/held_test.go
@@ -74,3 +74,25 @@
 		Expect(other.requestsRun).To(BeNumerically("<", 40))
 	})
 })
+
+// Guards against resets of flows on backend servers that an incomplete state lacks (review/4).
+var _ = Describe("while the published state may lack backend servers", func() {
+	It("a flow that no known one holds is not reset", func() {
+		sim := newSimulation(143)
+		b := sim.addBackend(3)
+		sim.addBalancer()
+		sim.publish()
+		c := sim.addCaller(5)
+		sim.run(200 * time.Millisecond)
+		sim.addBackend(3)
+		b.unlisted, sim.incomplete = true, true
+		sim.restartBalancer(sim.balancers[0])
+		sim.run(300 * time.Millisecond)
+		b.unlisted, sim.incomplete = false, false
+		sim.publish()
+		sim.run(2 * time.Second)
+		Expect(c.resets + c.failed).To(BeZero())
+		Expect(len(c.answerTimes)).To(BeNumerically(">", 2))
+		Expect(sim.violations).To(BeEmpty())
+	})
+})
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -20,8 +20,11 @@
 	// placementHeld is true while new flows have to wait and no flow is reset, because the
 	// state may come from a copy of the store and nothing else is known yet.
 	placementHeld bool
-	drained       map[currantturn.FailureDomain]bool // whose backend servers get no new flows
-	withheld      int                                // backend servers that are not in placeable for that reason
+	// resetsHeld is true while no flow is reset because nobody holds it: backend servers may
+	// be missing.
+	resetsHeld bool
+	drained    map[currantturn.FailureDomain]bool // whose backend servers get no new flows
+	withheld   int                                // backend servers that are not in placeable for that reason
 	// recordedSince is the time since which no removal of a registration, or of a
 	// service from a route, is missing from targets and earlierServices.
 	recordedSince   time.Time
@@ -55,6 +58,7 @@
 		position:        source.Position,
 		provisional:     source.Routing == nil,
 		placementHeld:   source.PlacementHeld,
+		resetsHeld:      source.ResetsHeld,
 		drained:         drainedDomains(source),
 		recordedSince:   now.Add(-source.Recorded()),
 		routes:          make(map[netip.AddrPort]*currantturn.FlowRoute),
--- a/internal/coordination/flowbalancer/search.go
+++ b/internal/coordination/flowbalancer/search.go
@@ -360,7 +360,7 @@
 func (b *Balancer) finishIfAllRuledOut(
 	now time.Time, p *plan, route *currantturn.FlowRoute, packet *currantturn.Packet, e *entry, out *currantturn.Effects,
 ) bool {
-	if p.provisional || p.placementHeld || !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
+	if p.provisional || p.placementHeld || p.resetsHeld || !e.allRuledOut(now, b.lastReceived(), p.possibleHolders(now, route)) {
 		return false
 	}
 	if e.minPosition.After(p.position) {
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -77,6 +77,7 @@
 	earlier    []routehistory.Entry           // services that the route used to lead to, in that record
 	noOverflow bool                           // balancers keep new flows on the service drawn by weight
 	held       bool                           // the state may come from a copy of the store, and nothing else is known
+	incomplete bool                           // the state may lack backend servers
 	unverified bool                           // the state may contain registrations that the store no longer has
 	drained    []drained.Entry                // failure domains whose backend servers get no new flows
 	storeDown  bool                           // nothing is published, so that balancers only learn of announced agents
@@ -103,6 +104,7 @@
 
 // backendVM is a VM with a backend server and its agent.
 type backendVM struct {
+	unlisted     bool // missing in the published state
 	registration currantturn.Registration
 	removedAt    time.Time // when the registration was removed; zero while it exists
 	address      netip.AddrPort
@@ -299,10 +301,13 @@
 		return
 	}
 	s := statesync.State{
-		PlacementHeld: sim.held, Unverified: sim.unverified, Position: currantturn.Position{Revision: sim.revision}, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier, Drained: sim.drained,
+		PlacementHeld: sim.held, ResetsHeld: sim.incomplete, Unverified: sim.unverified, Position: currantturn.Position{Revision: sim.revision}, Routing: sim.routing, RecordedMS: uint32(sim.recorded.Milliseconds()), Earlier: sim.earlier, Drained: sim.drained,
 	}
 	for _, id := range sim.backendIDs() {
 		backend := sim.backends[id]
+		if backend.unlisted {
+			continue
+		}
 		s.Servers = append(s.Servers, roster.Entry{
 			Registration: backend.registration, Gone: backend.removedAt, WasDraining: !backend.removedAt.IsZero() && backend.registration.State == currantturn.BackendDraining,
 		})
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -55,11 +55,11 @@
 	// changeFanout bounds the receivers of the heartbeat that is sent at once after
 	// a change; other balancers get the change from the receivers.
 	changeFanout = 32
-	// maxHeartbeatChanges bounds the registrations in one heartbeat, which has to
-	// fit into a datagram.
+	// maxHeartbeatChanges bounds the registrations and orders in one heartbeat, which has
+	// to fit into a datagram.
 	maxHeartbeatChanges = 4
-	// maxHeartbeatPeers bounds the addresses in one heartbeat.
-	maxHeartbeatPeers = 16
+	// maxHeartbeatPeers bounds the addresses of other balancers in one heartbeat.
+	maxHeartbeatPeers = 15
 	// maxPeers bounds the stored balancers: from this number on, none are added from
 	// the addresses in heartbeats.
 	maxPeers = 1024
--- a/internal/coordination/statesync/drained.go
+++ b/internal/coordination/statesync/drained.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -12,13 +11,8 @@
 
 // drainedState is what a feed knows of drained failure domains.
 type drainedState struct {
-	domains *drained.Domains
-	// known is true if the domains are those at the position of the state. It is false if
-	// that came from a process that does not know of drained failure domains.
-	known    bool
-	changed  []currantturn.DrainOrder // by the last update, as Feed.changed
+	domains  *drained.Domains
 	reported []currantturn.FailureDomain
-	listedAt time.Time // last complete read of the store
 }
 
 // replaceDrained applies a complete listing of the orders to drain failure domains.
@@ -30,7 +24,6 @@
 		}
 	}
 	f.drained.domains.Replace(now, all, f.ordersReturnUntil())
-	f.drained.known = true
 }
 
 // ordersReturnUntil returns the time until which a missing order may return: after the
@@ -42,40 +35,12 @@
 	return time.Time{}
 }
 
-// adoptDrained applies the drained failure domains of a peer's state, which is not older
-// than the own one.
+// adoptDrained replaces the drained failure domains by those of a peer's state, unless its
+// process does not know of them.
 func (f *Feed) adoptDrained(now time.Time, s *State) {
-	switch {
-	case s.DrainedKnown && (!f.drained.known || s.After(f.state.Position)):
+	if s.DrainedKnown {
 		f.drained.domains.Replace(now, s.Drained, f.ordersReturnUntil())
-		f.drained.known = true
-	case !s.DrainedKnown && s.After(f.state.Position):
-		f.drained.known = false
 	}
-	f.drained.changed = nil
-}
-
-// lacksDrained reports whether a peer's state has the drained failure domains at the
-// position of the own one, which does not have them.
-func (f *Feed) lacksDrained(peerKnows bool) bool {
-	return peerKnows && !f.drained.known
-}
-
-// avoids reports whether the newer state of a peer is left aside, because the peer does not
-// know of drained failure domains and the own state is recent.
-func (f *Feed) avoids(now time.Time, peerKnows bool) bool {
-	return !peerKnows && f.usable() && f.drained.known && now.Sub(f.confirmedAt) < f.opts.ApplyWithin/2
-}
-
-// mustListDrained reports whether everything is to be read because drained failure domains
-// are unknown, which a watch does not return.
-func (f *Feed) mustListDrained(now time.Time) bool {
-	return !f.drained.known && now.Sub(f.drained.listedAt) >= f.opts.ApplyWithin/2
-}
-
-// knowsDrained reports whether the sender of a heartbeat knows of drained failure domains.
-func (h *Heartbeat) knowsDrained(from netip.AddrPort) bool {
-	return len(h.Peers) > 0 && h.Peers[0] == from
 }
 
 // withoutOrders returns the heartbeat for a receiver that may not know of drained failure
--- a/internal/coordination/statesync/drained_test.go
+++ b/internal/coordination/statesync/drained_test.go
@@ -24,14 +24,14 @@
 func (f *fleet) forgetDrained(from, to int, h *statesync.Heartbeat, state *statesync.State) {
 	self := f.balancers[from].addr
 	if f.ignoresDrains(from) {
-		state.Drained, state.DrainedKnown = nil, false
+		state.Drained, state.DrainedKnown, state.Complete = nil, false, false
 		h.Orders = nil
 		h.Peers = slices.DeleteFunc(slices.Clone(h.Peers), func(p netip.AddrPort) bool { return p == self })
 	}
 	if f.ignoresDrains(to) {
-		state.Drained, state.DrainedKnown = nil, true
+		state.Drained, state.DrainedKnown, state.Complete = nil, true, true
 		Expect(h.Orders).To(BeEmpty(), "its decoder accepts no fields that it does not know")
-		h.Peers = append([]netip.AddrPort{self}, h.Peers...) // all peers count for it
+		h.Peers = append([]netip.AddrPort{self, self}, h.Peers...) // all peers count for it
 	}
 }
 
@@ -266,7 +266,7 @@
 		f.expectDrained("upanga")
 	})
 
-	It("are not given up for the newer state of a process that does not know of them, while the own state is recent", func() {
+	It("are not given up for the newer state of a process that may not have them all, while the own state is recent", func() {
 		f := newHistoryFleet(1)
 		b := f.balancers[0]
 		peer := netip.MustParseAddrPort("10.0.0.9:7120")
@@ -279,6 +279,8 @@
 		h.Peers = []netip.AddrPort{peer}
 		f.store.away = false
 		f.run(time.Second)
+		Expect(b.feed.HandleHeartbeat(f.now, peer, h, &currantturn.Effects{})).To(Equal(statesync.OutcomeNone))
+		h.Peers = []netip.AddrPort{peer, peer}
 		Expect(b.feed.HandleHeartbeat(f.now, peer, h, &currantturn.Effects{})).To(Equal(statesync.OutcomePull))
 	})
 })
--- a/internal/coordination/statesync/era.go
+++ b/internal/coordination/statesync/era.go
@@ -131,7 +131,7 @@
 	f.servers.Learn(now, s.Servers, now.Add(lapseGrace))
 	f.drained.domains.Learn(now, s.Drained, now.Add(lapseGrace))
 	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
-	f.state, f.changed, f.drained.changed = next, nil, nil
+	f.state, f.change = next, nil
 }
 
 // fromEarlierEra reports whether a peer's position can't be compared with the own one: its
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -60,7 +60,11 @@
 	// service from a route, is missing from the record.
 	recordedSince time.Time
 	mustList      bool // there is no state yet, or the store no longer has the changes after its revision
-	resumed       bool // a watch has succeeded since the last failure or pause
+	// incomplete is true while the state comes from a process of an earlier build, which may
+	// lack orders to drain failure domains or registrations of its position.
+	incomplete bool
+	listedAt   time.Time // last complete read of the store
+	resumed    bool      // a watch has succeeded since the last failure or pause
 	// confirmedAt is when the store last confirmed the state, to this balancer or
 	// to another one.
 	confirmedAt  time.Time
@@ -78,8 +82,7 @@
 	failures         int              // consecutive failed reads
 	peers            map[netip.AddrPort]peer
 	announced        map[netip.AddrPort]announcement // by link address of the agent
-	changed          []roster.Entry                  // by the last update; nil if more than that changed
-	changedSince     uint64                          // revision before that update
+	change           *change                         // that led to the state; nil if unknown or too large for a heartbeat
 	lastHeartbeat    time.Time
 	reportedWatching bool // whether the last event said that this balancer watches
 	counts           Counters
@@ -120,7 +123,8 @@
 	if f.servers.Lapsing() {
 		s.Servers = f.servers.Entries(now)
 	}
-	s.Drained, s.DrainedKnown = f.drained.domains.Entries(now), f.drained.known
+	s.Drained = f.drained.domains.Entries(now)
+	s.Complete, s.DrainedKnown, s.ResetsHeld = !f.incomplete, !f.incomplete, f.incomplete
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
 	s.Unverified, s.PlacementHeld = f.verifying(), f.placementHeld(now)
@@ -149,7 +153,7 @@
 		f.resumed = false
 		return Plan{Step: StepPause, Wait: heartbeatInterval / 3}
 	}
-	if f.mustList || f.mustListDrained(now) {
+	if f.mustList || f.mustComplete(now) {
 		return Plan{Step: StepList}
 	}
 	wait := f.opts.ApplyWithin / 3
@@ -189,7 +193,7 @@
 	f.counts.Lists++
 	// With the lower revision, the watch repeats changes made between the two reads.
 	position := currantturn.Position{Era: servers.Era, Revision: min(routing.Revision, servers.Revision)}
-	f.mustList, f.resumed, f.drained.listedAt = false, true, now
+	f.mustList, f.resumed, f.listedAt = false, true, now
 	if f.state.After(position) {
 		return // a newer state came from a peer; the watch continues from its revision
 	}
@@ -212,7 +216,7 @@
 	}
 	f.replaceDrained(now, routing)
 	f.replaceServers(now, registrations)
-	f.changed, f.drained.changed = nil, nil
+	f.change, f.incomplete = nil, false
 	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 	f.state = next
 	f.confirmAt(began)
@@ -241,42 +245,11 @@
 		f.applyItem(now, item, &next, out)
 	}
 	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
-	f.keepChange(now, changes, &next)
+	f.change = f.changeTo(now, &next, changes)
 	f.state = next
 	f.confirmAt(now)
 }
 
-// keepChange keeps the registrations and orders of a small change for the next heartbeats.
-func (f *Feed) keepChange(now time.Time, changes currantturn.Listing, next *State) {
-	f.changed, f.changedSince, f.drained.changed = nil, f.state.Revision, nil
-	if next.Routing != f.state.Routing {
-		return
-	}
-	for _, item := range changes.Items {
-		if item.Drain != nil {
-			f.drained.changed = append(f.drained.changed, *item.Drain)
-			continue
-		}
-		id := item.Removed
-		if item.Registration != nil {
-			id = item.Registration.ID
-		}
-		e, ok := f.servers.Get(now, id)
-		if !ok {
-			continue // written by another writer, or removed before it was known
-		}
-		if len(f.changed) == maxHeartbeatChanges {
-			f.changed = nil
-			return
-		}
-		f.changed = append(f.changed, e)
-	}
-	if len(f.changed) == 0 {
-		// Any unchanged registration shows peers that there is nothing to pull.
-		f.changed = next.Servers[:min(len(next.Servers), 1)]
-	}
-}
-
 // applyItem applies one change of a watch to the registrations and the next state.
 func (f *Feed) applyItem(now time.Time, item currantturn.Item, next *State, out *currantturn.Effects) {
 	switch {
@@ -377,20 +350,42 @@
 	}
 	f.mustList = false
 	f.mergeRecord(now, &s)
-	f.adoptDrained(now, &s)
 	if !s.After(f.state.Position) {
+		f.completeFrom(now, &s)
 		f.state.Servers, f.state.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 		return
 	}
-	f.changed = nil
+	f.change, f.incomplete = nil, !s.Complete
 	f.enterEra(s.Position)
 	next := State{Position: s.Position, Routing: f.state.Routing}
 	f.setRouting(now, &next, s.Routing, out)
+	f.adoptServers(now, &s)
+	f.adoptDrained(now, &s)
+	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
+	f.state = next
+}
+
+// completeFrom completes the state by that of a peer at the same position.
+func (f *Feed) completeFrom(now time.Time, s *State) {
+	if !f.incomplete || !s.Complete {
+		return
+	}
+	f.adoptServers(now, s)
+	f.adoptDrained(now, s)
+	f.incomplete = false
+}
+
+// adoptServers replaces the registrations by those of a peer's state.
+func (f *Feed) adoptServers(now time.Time, s *State) {
 	if f.verifying() {
 		f.servers.Reconcile(now, s.Servers, f.era.firstRevision, f.trustedFrom)
 	} else {
 		f.servers.Update(now, s.Servers)
 	}
-	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
-	f.state = next
+}
+
+// mustComplete reports whether everything is to be read because the state is incomplete:
+// a watch does not return what is missing.
+func (f *Feed) mustComplete(now time.Time) bool {
+	return f.incomplete && now.Sub(f.listedAt) >= f.opts.ApplyWithin/2
 }
--- a/internal/coordination/statesync/message.go
+++ b/internal/coordination/statesync/message.go
@@ -14,13 +14,13 @@
 	Version currantturn.Version `cbor:"2,keyasint"` // of the routing, 0 without one
 	AgeMS   uint32              `cbor:"3,keyasint"` // time since the store confirmed that state
 	// Peers are link addresses of other balancers, after the sender's own one, which shows
-	// that the sender knows of drained failure domains. Earlier processes accept no fields
-	// that they do not know.
+	// that the sender knows of drained failure domains; twice if its state is complete, and
+	// its changes are. Earlier processes accept no fields that they do not know.
 	Peers    []netip.AddrPort `cbor:"4,keyasint"`
 	Capacity float64          `cbor:"5,keyasint"` // of the sender's network link, Mbit/s
-	// Since and Changed carry a small change, so that the receiver need not pull
-	// the state: Changed holds the registrations that changed after the revision
-	// Since. Changed is empty if more has changed.
+	// Since, Changed and Orders carry a small change, so that the receiver need not pull
+	// the state: all that was published after the revision Since. Changed is empty if the
+	// change is not small.
 	Since   uint64         `cbor:"6,keyasint,omitempty"`
 	Changed []roster.Entry `cbor:"7,keyasint,omitempty"`
 	// RecordedMS is how far back the sender's record of removals reaches.
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -26,15 +26,16 @@
 	capacity     float64
 	searches     bool // whether it takes searches from other balancers
 	knowsDrained bool // whether it knows of drained failure domains
+	whole        bool // whether its state and the changes that it sends are complete
 }
 
 // isWatcher reports whether this balancer is one of the watchers, which are the
-// first of the balancers that are alive, in the order of precedes. Those that do not know
-// of drained failure domains do not count.
+// first of the balancers that are alive, in the order of precedes. Those without a complete
+// state do not count.
 func (f *Feed) isWatcher(now time.Time) bool {
 	preceding := 0
 	for addr, p := range f.peers {
-		if p.knowsDrained && now.Sub(p.lastReceived) < peerTimeout && f.precedes(addr, p.capacity) {
+		if p.whole && now.Sub(p.lastReceived) < peerTimeout && f.precedes(addr, p.capacity) {
 			preceding++
 		}
 	}
@@ -61,7 +62,9 @@
 	if now.Sub(f.peers[from].lastReceived) >= peerTimeout && len(f.greet) < heartbeatFanout {
 		f.greet = append(f.greet, from)
 	}
-	f.peers[from] = peer{lastReceived: now, capacity: h.Capacity, searches: h.Searches, knowsDrained: h.knowsDrained(from)}
+	f.peers[from] = peer{
+		lastReceived: now, capacity: h.Capacity, searches: h.Searches, knowsDrained: h.knowsDrained(from), whole: h.whole(from),
+	}
 	for _, p := range h.Peers {
 		if _, known := f.peers[p]; !known && p != f.opts.Self && len(f.peers) < maxPeers {
 			f.peers[p] = peer{lastReceived: now.Add(-peerTimeout)} // gets heartbeats but is not alive yet
@@ -73,39 +76,30 @@
 	case h.Version == 0 || f.fromEarlierEra(h.Position) || f.state.After(h.Position):
 		return OutcomeNone // a recent confirmation of an older state confirms nothing here
 	case h.After(f.state.Position):
-		if f.avoids(now, h.knowsDrained(from)) {
+		if f.avoids(now, h.whole(from)) {
 			return OutcomeNone
 		}
-		if h.Era != f.state.Era || h.Since != f.state.Revision || h.Version != f.state.RoutingVersion() ||
-			len(h.Changed)+len(h.Orders) == 0 || f.drained.known && !h.knowsDrained(from) {
+		c := f.changeFrom(from, &h)
+		if c == nil {
 			return OutcomePull
 		}
-		f.applyChange(now, h)
-		out.Event(event.ChangeReceived, event.F("peer", from), event.F("since", h.Since), event.F("era", h.Era),
-			event.F("revision", h.Revision), event.F("servers", len(h.Changed)), event.F("orders", len(h.Orders)))
+		f.apply(now, c)
+		out.Event(event.ChangeReceived, event.F("peer", from), event.F("since", c.since), event.F("era", h.Era),
+			event.F("revision", h.Revision), event.F("servers", len(c.servers)), event.F("orders", len(c.orders)))
 		f.confirm(now, h.AgeMS)
 		return OutcomeChanged
 	}
 	f.confirm(now, h.AgeMS)
-	if f.needsRecord(now, h.RecordedMS) || f.lacksDrained(h.knowsDrained(from)) {
+	if f.needsRecord(now, h.RecordedMS) || f.incomplete && h.whole(from) {
 		return OutcomePull
 	}
 	return OutcomeNone
 }
 
-// applyChange applies the small change in a peer's heartbeat.
-func (f *Feed) applyChange(now time.Time, h Heartbeat) {
-	for _, e := range h.Changed {
-		f.servers.Adopt(now, e)
-	}
-	for _, o := range h.Orders {
-		f.drained.domains.Apply(o)
-	}
-	f.state = State{
-		Position: h.Position, Routing: f.state.Routing,
-		Servers: f.servers.Entries(now), Drained: f.drained.domains.Entries(now),
-	}
-	f.changed, f.changedSince, f.drained.changed = h.Changed, h.Since, h.Orders
+// avoids reports whether the newer state of a peer is left aside, because it may not be
+// complete and the own one is, and is recent.
+func (f *Feed) avoids(now time.Time, whole bool) bool {
+	return !whole && f.usable() && !f.incomplete && now.Sub(f.confirmedAt) < f.opts.ApplyWithin/2
 }
 
 // confirm records that the store confirmed the state ageMS milliseconds ago,
@@ -140,7 +134,7 @@
 		changed = changed || len(f.announced) > 0
 	}
 	for _, addr := range f.greet {
-		out.Send(addr, f.heartbeat(now, addr, []netip.AddrPort{f.opts.Self}))
+		out.Send(addr, f.heartbeat(now, addr, nil))
 	}
 	f.greet = f.greet[:0]
 	if now.Sub(f.lastHeartbeat) >= heartbeatInterval {
@@ -233,23 +227,39 @@
 	}
 	slices.SortFunc(receivers, netip.AddrPort.Compare)
 	f.rng.Shuffle(len(receivers), func(i, j int) { receivers[i], receivers[j] = receivers[j], receivers[i] })
-	peers := append([]netip.AddrPort{f.opts.Self}, receivers[:min(len(receivers), maxHeartbeatPeers)]...)
+	peers := receivers[:min(len(receivers), maxHeartbeatPeers)]
 	for _, addr := range receivers[:min(len(receivers), fanout)] {
 		out.Send(addr, f.heartbeat(now, addr, peers))
 	}
 }
 
-// heartbeat returns the heartbeat for a receiver, with the present state and the own
-// address before those of peers.
-func (f *Feed) heartbeat(now time.Time, to netip.AddrPort, peers []netip.AddrPort) Heartbeat {
+// heartbeat returns the heartbeat for a receiver, with the present state and addresses of
+// other balancers.
+func (f *Feed) heartbeat(now time.Time, to netip.AddrPort, others []netip.AddrPort) Heartbeat {
 	h := Heartbeat{
 		Position: f.state.Position, Version: f.state.RoutingVersion(), Capacity: f.opts.Capacity,
-		Peers: peers, Since: f.changedSince, Changed: f.changed, Orders: f.drained.changed,
 		RecordedMS: f.recordedMS(now), Searches: true, Announced: uint32(len(f.announced)), Unverified: f.verifying(),
 		AgeMS: uint32(min(now.Sub(f.confirmedAt), time.Hour).Milliseconds()),
 	}
+	h.Peers = append(h.Peers, f.opts.Self)
+	if !f.incomplete {
+		h.Peers = append(h.Peers, f.opts.Self)
+	}
+	h.Peers = append(h.Peers, others...)
+	f.change.addTo(&h)
 	if !f.peers[to].knowsDrained {
 		return h.withoutOrders()
 	}
 	return h
 }
+
+// knowsDrained reports whether the sender of a heartbeat knows of drained failure domains.
+func (h *Heartbeat) knowsDrained(from netip.AddrPort) bool {
+	return len(h.Peers) > 0 && h.Peers[0] == from
+}
+
+// whole reports whether the sender of a heartbeat has a complete state, and sends changes as
+// a whole or not at all.
+func (h *Heartbeat) whole(from netip.AddrPort) bool {
+	return len(h.Peers) > 1 && h.Peers[0] == from && h.Peers[1] == from
+}
--- a/internal/coordination/statesync/state.go
+++ b/internal/coordination/statesync/state.go
@@ -29,6 +29,12 @@
 	// false from a process that does not know of them.
 	Drained      []drained.Entry `cbor:"9,keyasint,omitempty"`
 	DrainedKnown bool            `cbor:"10,keyasint,omitempty"`
+	// Complete is true if the state is all that the store had at its position; false from
+	// processes of earlier builds, and if it came from one.
+	Complete bool `cbor:"11,keyasint,omitempty"`
+	// ResetsHeld is true while no flow may be reset because nobody holds it: backend servers
+	// may be missing.
+	ResetsHeld bool `cbor:"-"`
 	// PlacementHeld is true while new flows have to wait and no flow may be reset, because
 	// the state may come from a copy of the store and nothing else is known yet.
 	PlacementHeld bool `cbor:"-"`
