--- a/internal/coordination/flowagent/agent_test.go
+++ b/internal/coordination/flowagent/agent_test.go
@@ -229,6 +229,54 @@
 		Expect(t.agent.Counters().Flows).To(BeZero())
 	})
 
+	// Guards against claims, and then resets, of flows that another backend server holds
+	// (review/2): an opening packet lay in a queue of a VM that stood still, and the backend
+	// server repeats its answer after the agent's restart.
+	DescribeTable("does not take its backend server's repeated answer to an opening packet for an open flow", func(answerFirst bool) {
+		t := newTestAgent(false)
+		repeat := func() {
+			t.answer(caller, syn|ack, 500, 101, 0)
+			Expect(t.out.Answers).To(HaveLen(1))
+			Expect(t.out.Sends).To(BeEmpty())
+		}
+		if answerFirst {
+			repeat()
+		}
+		t.route(caller, currantturn.IntentSearch, ack, 101, 77_001, 20) // it accepted another answer
+		Expect(t.out.Deliveries).To(HaveLen(1))
+		Expect(t.out.Sends).To(BeEmpty())
+		if !answerFirst {
+			repeat()
+		}
+		t.bounce(caller, ack, 101, 77_001, 20)
+		Expect(t.out.Answers).To(BeEmpty(), "a reset")
+		t.expectDenial()
+	},
+		Entry("that arrives before the search", true),
+		Entry("that arrives after the search", false),
+	)
+
+	DescribeTable("finds a flow older than itself whose opening was not yet acknowledged", func(answerFirst bool) {
+		t := newTestAgent(false)
+		if answerFirst {
+			t.answer(caller, syn|ack, 500, 101, 0)
+		}
+		t.route(caller, currantturn.IntentSearch, ack, 101, 501, 20)
+		Expect(t.out.Deliveries).To(HaveLen(1))
+		if !answerFirst {
+			t.answer(caller, syn|ack, 500, 101, 0) // both were under way
+			Expect(t.out.Sends).To(BeEmpty())
+		}
+		t.answer(caller, ack, 501, 121, 0)
+		Expect(t.out.Sends).To(HaveLen(1))
+		Expect(t.out.Sends[0].Message).To(BeAssignableToTypeOf(relay.Held{}))
+		t.route(caller, currantturn.IntentSearch, ack, 121, 501, 20)
+		Expect(t.out.Sends[0].Message).To(BeAssignableToTypeOf(relay.Held{}))
+	},
+		Entry("after its backend server repeats its answer", true),
+		Entry("before its backend server repeats its answer", false),
+	)
+
 	It("returns packets for another service", func() {
 		t := newTestAgent(true)
 		t.agent.SetService("reports")
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -20,8 +20,10 @@
 	a.counts.answers.Add(1)
 	stored := a.flows.UpdateWithRoom(p.Flow, func(r *flowRecord, room bool) *flowRecord {
 		if r == nil {
-			if p.Mark == currantturn.MarkReset {
-				return nil // the flow's record has been deleted
+			if p.Mark == currantturn.MarkReset || p.Mark == currantturn.MarkOpening {
+				// The flow's record has been deleted, or this process has not seen the opening
+				// packet that the backend server answers: another one may hold the flow.
+				return nil
 			}
 			// The flow is older than this process.
 			r = &flowRecord{progress: open, lastSeen: now}
@@ -31,6 +33,9 @@
 			a.tracker.addOpenFlows(1)
 		}
 		if r.progress == unconfirmed {
+			if p.Mark == currantturn.MarkOpening {
+				return r // the backend server still awaits the caller's acknowledgement
+			}
 			r.progress = open
 			a.tracker.addOpenFlows(1)
 			out.Send(r.balancer, relay.Held{Flow: relay.FlowOf(p.Flow)})
