--- a/internal/coordination/statesync/counters.go
+++ b/internal/coordination/statesync/counters.go
@@ -12,6 +12,7 @@
 	Watches     uint64 `json:"watches"`    // watches that returned a result
 	Failures    uint64 `json:"failures"`   // reads without a usable answer
 	Compacted   uint64 `json:"compacted"`  // watches whose start revision was compacted away
+	TooLarge    uint64 `json:"too_large"`  // reads whose answer was above the limit
 	Pulls       uint64 `json:"pulls"`      // states taken from another balancer
 	Version     uint64 `json:"version"`    // configuration in force
 	Era         uint64 `json:"era"`        // store's era of the state in force; 0 if unknown
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -59,7 +59,7 @@
 	// recordedSince is the time since which no removal of a registration, or of a
 	// service from a route, is missing from the record.
 	recordedSince time.Time
-	mustList      bool // there is no state yet, or the store no longer has the changes after its revision
+	mustList      bool // there is no state yet, or a watch can't return the changes after its revision
 	// incomplete is true while the state comes from a process of an earlier build, which may
 	// lack orders to drain failure domains or registrations of its position.
 	incomplete bool
@@ -80,6 +80,7 @@
 	startedAt        time.Time
 	greet            []netip.AddrPort // peers that get a heartbeat with the next tick, because they were silent before
 	failures         int              // consecutive failed reads
+	malformed        int              // those of them whose answer can't be decoded
 	peers            map[netip.AddrPort]peer
 	announced        map[netip.AddrPort]announcement // by link address of the agent
 	change           *change                         // that led to the state; nil if unknown or too large for a heartbeat
@@ -283,7 +284,8 @@
 
 // RecordFailure records a failed read, with the era of the store's response; 0 if there
 // was none. After currantturn.ErrCompacted, the store no longer has the changes after the
-// revision of the watch.
+// revision of the watch. After an answer that is too large, or a second one that can't be
+// decoded, everything is read: the same watch would return at least as much.
 func (f *Feed) RecordFailure(now time.Time, era uint64, err error, out *currantturn.Effects) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -295,6 +297,19 @@
 		f.counts.Compacted++
 		return
 	}
+	if errors.Is(err, currantturn.ErrTooLarge) {
+		out.Event(event.StoreAnswerTooLarge, event.F("error", err), event.F("era", f.state.Era), event.F("revision", f.state.Revision))
+		f.counts.TooLarge++
+		if !f.mustList {
+			f.endOutage(now, out)
+			f.mustList = true
+			return
+		}
+	}
+	if errors.Is(err, currantturn.ErrMalformed) {
+		f.malformed++
+		f.mustList = f.mustList || f.malformed > 1
+	}
 	f.countFailure(now, err, out)
 }
 
@@ -318,7 +333,7 @@
 		f.trustedFrom = now.Add(lapseGrace)
 		out.Event(event.StoreRegained, event.F("failures", f.failures))
 	}
-	f.failures = 0
+	f.failures, f.malformed = 0, 0
 }
 
 // ApplyPulled applies the state read from a peer if it is newer than the own one, and
--- a/internal/coordination/statesync/feed_test.go
+++ b/internal/coordination/statesync/feed_test.go
@@ -431,6 +431,35 @@
 		Expect(out.Events).To(BeEmpty())
 	})
 
+	// Guards against a watch that is repeated while its answer grows (review/3).
+	It("is read completely after an answer to a watch that is too large", func() {
+		f := newFleet(1)
+		f.run(time.Second)
+		b := f.balancers[0]
+		var out currantturn.Effects
+		b.feed.RecordFailure(f.now, 0, currantturn.ErrTooLarge, &out)
+		Expect(b.feed.Next(f.now).Step).To(Equal(statesync.StepList))
+		Expect(out.Events).To(HaveLen(1))
+		Expect(out.Events[0].Number).To(Equal(event.StoreAnswerTooLarge))
+		b.feed.RecordFailure(f.now, 0, currantturn.ErrTooLarge, &out)
+		Expect(b.feed.Next(f.now).Step).To(Equal(statesync.StepPause), "the complete reading is too large as well")
+		Expect(b.feed.Counters(f.now).TooLarge).To(Equal(uint64(2)))
+	})
+
+	It("is read completely after two answers that can't be decoded", func() {
+		f := newFleet(1)
+		f.run(time.Second)
+		b := f.balancers[0]
+		next := func() statesync.Step {
+			f.now = f.now.Add(time.Second)
+			return b.feed.Next(f.now).Step
+		}
+		b.feed.RecordFailure(f.now, 0, currantturn.ErrMalformed, &currantturn.Effects{})
+		Expect(next()).To(Equal(statesync.StepWatch))
+		b.feed.RecordFailure(f.now, 0, currantturn.ErrMalformed, &currantturn.Effects{})
+		Expect(next()).To(Equal(statesync.StepList))
+	})
+
 	It("is watched, not read again and again, until the first configuration is published", func() {
 		f := newFleet(1)
 		f.version = 0
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -17,6 +17,7 @@
 	DomainDrained          = 812
 	DomainRestored         = 813
 	ChangeReceived         = 814
+	StoreAnswerTooLarge    = 815
 )
 
 var stateSyncDefinitions = []Definition{
@@ -34,4 +35,5 @@
 	{DomainDrained, "domain_drained", Info, "operator drains a failure domain: its backend servers get no new flows; without backend servers the order has no effect", fields("domain servers era revision")},
 	{DomainRestored, "domain_restored", Info, "operator has taken a failure domain back: its backend servers get new flows again", fields("domain servers era revision")},
 	{ChangeReceived, "change_received", Info, "another balancer's heartbeat brought the published state to a newer revision", fields("peer since era revision servers orders")},
+	{StoreAnswerTooLarge, "store_answer_too_large", Warning, "store's answer is above the limit and was not used; everything is read in its place, page by page", fields("error era revision")},
 }
--- a/internal/transport/body/read_test.go
+++ b/internal/transport/body/read_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/suite"
 	"github.com/currantturn/currantturn/internal/transport/body"
 	. "github.com/onsi/ginkgo/v2"
@@ -50,9 +51,16 @@
 }
 
 var _ = Describe("a body", func() {
-	It("is read up to the limit", func() {
-		p, err := body.Read(bytes.NewReader(make([]byte, 100)), 10, time.Second, func() {})
+	It("is read if it is not above the limit", func() {
+		p, err := body.Read(bytes.NewReader(make([]byte, 10)), 10, time.Second, func() {})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p).To(HaveLen(10))
 	})
+
+	// Guards against the part of a body that passes for the whole (review/3).
+	It("is refused above the limit", func() {
+		p, err := body.Read(bytes.NewReader(make([]byte, 11)), 10, time.Second, func() {})
+		Expect(err).To(MatchError(currantturn.ErrTooLarge))
+		Expect(p).To(BeEmpty())
+	})
 })
--- a/store.go
+++ b/store.go
@@ -26,8 +26,8 @@
 	Position // of the store, after which a watch continues
 }
 
-// Store reads from the platform's store. Its errors wrap ErrUnavailable,
-// ErrCompacted or ErrMalformed. A listing that comes with an error holds the era, if
+// Store reads from the platform's store. Its errors wrap ErrUnavailable, ErrCompacted,
+// ErrMalformed or ErrTooLarge. A listing that comes with an error holds the era, if
 // the store's response has one, and nothing else.
 type Store interface {
 	// Configuration reads the published configuration and the orders to drain failure
