soak: sequences of events that the review's cases brought about

Its backend servers did not repeat answers to opening packets, one answer of the store never held an order beside many registrations, and connections to the store never went silent while large configurations came; where single events met, other faults excused what followed.

What: after the faults, once nothing is disturbed, three of four seeds play crowded_answer, silent_storm or late_openings. The checks are as before.

Cases 1 and 4 of the review have one cause; the soak plays it by a server that leaves.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -122,7 +122,7 @@
 
 func printResult(r *soak.Result) {
 	if len(r.Violations) == 0 {
-		fmt.Printf("seed %d: %d faults, no guarantee violated; %s\n", r.Seed, len(r.Schedule), r.Summary())
+		fmt.Printf("seed %d: %d faults, sequence %s, no guarantee violated; %s\n", r.Seed, len(r.Schedule), r.Sequence, r.Summary())
 		return
 	}
 	fmt.Printf("seed %d: %d violations; %s\nlogs: %s\nschedule from %s:\n", r.Seed, len(r.Violations), r.Summary(),
@@ -130,6 +130,7 @@
 	for _, f := range r.Schedule {
 		fmt.Println("  ", f)
 	}
+	fmt.Println("   then the sequence", r.Sequence)
 	fmt.Println("broken:")
 	for _, v := range r.Violations {
 		fmt.Println("  ", v)
--- a/internal/soak/apply.go
+++ b/internal/soak/apply.go
@@ -34,12 +34,7 @@
 	case CrashBackend:
 		return r.operator.crashBackend(ctx, f)
 	case ReuseBackend:
-		return r.operator.reuseAddress(ctx, f, func(service int) error {
-			a := r.agents[f.Agent]
-			err := a.configure(r.agentSettings(f.Agent, service, false))
-			a.signal(syscall.SIGHUP)
-			return err
-		})
+		return r.reuseAddress(ctx, f)
 	case Configure:
 		r.operator.configure(time.Now())
 	case RestoreStore:
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -20,6 +20,7 @@
 	started       time.Time
 	sequence      uint64    // of its last registration
 	drainingSince time.Time // when the store acknowledged the draining state, else zero
+	fewerSlots    bool      // whether it registers one slot less than it has
 }
 
 // hostedFlow is the state of a flow at its backend server.
@@ -152,9 +153,24 @@
 		f = &hostedFlow{openSequence: p.Sequence, initialSequence: first, expectedSequence: p.Sequence + 1, nextSequence: first + 1}
 		vm.flows[id] = f
 	}
+	vm.answerOpening(b, conn, id, f, 0)
+}
+
+// answerOpening answers an opening packet and repeats that until the caller acknowledges it.
+func (vm *backendVM) answerOpening(b *instance, conn *net.UDPConn, id flowID, f *hostedFlow, repeats int) {
 	vm.send(conn, platformtest.Packet{
 		From: id.service, To: id.caller, Flags: platformtest.Open | platformtest.Ack, Sequence: f.initialSequence, Acked: f.openSequence + 1,
 	})
+	if repeats == answerRepeats {
+		return
+	}
+	time.AfterFunc(min(resendAfter<<repeats, maxRepeatInterval), func() {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		if vm.current == b && vm.flows[id] == f && !f.open {
+			vm.answerOpening(b, conn, id, f, repeats+1)
+		}
+	})
 }
 
 // handleData handles a packet of a flow after its opening packet: the end of the
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -24,6 +24,7 @@
 	index      int
 	conn       *net.UDPConn
 	targets    []netip.AddrPort
+	longPauses *atomic.Bool // whether flows have long pauses between their requests
 	lastServed atomic.Int64 // start of the last request that was answered, in Unix nanoseconds
 
 	mu    sync.Mutex
@@ -38,9 +39,9 @@
 	from   netip.AddrPort
 }
 
-func newCaller(n *network, r *routers, check *checker, vms []*backendVM, index int, seed uint64, targets []netip.AddrPort) (*caller, error) {
+func newCaller(n *network, r *routers, check *checker, vms []*backendVM, index int, seed uint64, targets []netip.AddrPort, longPauses *atomic.Bool) (*caller, error) {
 	c := &caller{
-		net: n, routers: r, checker: check, vms: vms, index: index, targets: targets,
+		net: n, routers: r, checker: check, vms: vms, index: index, targets: targets, longPauses: longPauses,
 		rng: rand.New(rand.NewPCG(seed, uint64(index)+1000)), port: 20000, flows: make(map[uint16]chan receivedPacket),
 	}
 	conn, err := n.listen(n.address(callerNet, index, callerPort))
@@ -118,11 +119,15 @@
 		pause.For(ctx, time.Duration(c.randomInt(int(maxRequestPause))))
 		return
 	}
-	for n := range 1 + c.randomInt(maxRequestsPerFlow) {
+	requests, minPause, maxPause := 1+c.randomInt(maxRequestsPerFlow), time.Duration(0), maxRequestPause
+	if c.longPauses.Load() {
+		requests, minPause, maxPause = maxRequestsPerFlow, longPause/2, longPause
+	}
+	for n := range requests {
 		if !f.request(ctx, fmt.Sprintf("%s/%d", address, n)) {
 			return
 		}
-		pause.For(ctx, time.Duration(c.randomInt(int(maxRequestPause))))
+		pause.For(ctx, minPause+time.Duration(c.randomInt(int(maxPause-minPause))))
 	}
 	f.send(platformtest.Close|platformtest.Ack, "")
 }
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -170,6 +170,14 @@
 		}
 	})
 
+	It("is followed by each sequence for some seed", func() {
+		seen := map[Sequence]int{}
+		for seed := range uint64(40) {
+			seen[sequenceOf(seed)]++
+		}
+		Expect(seen).To(Equal(map[Sequence]int{NoSequence: 10, CrowdedAnswer: 10, SilentStorm: 10, LateOpenings: 10}))
+	})
+
 	It("contains every kind of fault for some seed", func() {
 		seen := map[Kind]bool{}
 		for seed := range uint64(30) {
--- a/internal/soak/constants.go
+++ b/internal/soak/constants.go
@@ -71,6 +71,21 @@
 	maxRestoreOutage = time.Second
 	// maxFaultDuration exceeds faultInterval, so that faults overlap.
 	maxFaultDuration = 3 * time.Second
+	// storeGap is how long no balancer reaches the store in CrowdedAnswer: for so short a time
+	// that only those that watch it notice.
+	storeGap = 160 * time.Millisecond
+	// stormRoutes make a configuration of some 400 kB, of which one comes each
+	// stormInterval for stormDuration.
+	stormRoutes   = 2500
+	stormInterval = 80 * time.Millisecond
+	stormDuration = 2 * time.Second
+	// answerRepeats is how often a backend server repeats its answer to an opening packet
+	// until the caller acknowledges it.
+	answerRepeats = 8
+	// maxRepeatInterval bounds the time between two repeats, which doubles.
+	maxRepeatInterval = 1600 * time.Millisecond
+	// longPause is the longest pause between two requests of a flow in LateOpenings.
+	longPause = 1200 * time.Millisecond
 	// slotsPerBackend, minWork and maxWork give backend servers a capacity of which
 	// callers use a fraction: concurrent requests, and the processing time of each.
 	slotsPerBackend = 4
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -24,6 +24,7 @@
 	current    platformtest.Configuration
 	lastSerial int             // number of the last instance
 	drained    map[string]bool // failure domains that are to be drained
+	further    int             // routes that see no traffic
 }
 
 // Addresses of services. New flows to reroutedService go to another service with each
@@ -46,6 +47,12 @@
 			TargetLatencyMS: 200, TimeoutMS: int(requestTimeout.Milliseconds()), Priority: 1,
 		})
 	}
+	for n := range o.further {
+		c.Routes = append(c.Routes, platformtest.Route{
+			Hostname: netip.AddrFrom4([4]byte{198, 19, byte(n >> 8), byte(n)}).String(), Prefix: "/443/", Service: serviceName(0),
+			TargetLatencyMS: 200, TimeoutMS: int(requestTimeout.Milliseconds()), Priority: 1,
+		})
+	}
 	o.current = c
 	o.store.Configure(c)
 	o.checker.recordVersion(version{
@@ -53,6 +60,23 @@
 	})
 }
 
+// setFurtherRoutes sets the number of routes without traffic in the next versions.
+func (o *operator) setFurtherRoutes(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.further = n
+}
+
+// changeSlots registers the backend server of a VM with another number of slots.
+func (o *operator) changeSlots(vm *backendVM) {
+	vm.registering.Lock()
+	defer vm.registering.Unlock()
+	if b := vm.instance(); b != nil {
+		b.fewerSlots = !b.fewerSlots
+		o.register(b, vm.registrationState())
+	}
+}
+
 // drain orders that a failure domain is drained.
 func (o *operator) drain(domain string) {
 	o.mu.Lock()
@@ -108,11 +132,14 @@
 func (o *operator) register(b *instance, state string) {
 	o.mu.Lock()
 	b.sequence++
-	sequence := b.sequence
+	sequence, slots := b.sequence, slotsPerBackend
+	if b.fewerSlots {
+		slots--
+	}
 	o.mu.Unlock()
 	o.store.Register(b.id, platformtest.Registration{
 		Service: serviceName(b.service), Address: o.net.address(agentProxyNet, b.vm, backendPort).String(),
-		Zone: failureDomain(b.vm), MaxConcurrency: slotsPerBackend, State: state, Sequence: sequence, Born: b.started.UnixMilli(),
+		Zone: failureDomain(b.vm), MaxConcurrency: slots, State: state, Sequence: sequence, Born: b.started.UnixMilli(),
 	})
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,6 +83,7 @@
 	Seed       uint64
 	Started    time.Time // start of traffic
 	Schedule   []Fault
+	Sequence   Sequence
 	Violations []string
 	Counts     map[string]uint64 // events that callers observed, by description
 	Dir        string
@@ -101,6 +103,8 @@
 	agents       []*process
 	storeProxies []*tcpProxy // in front of the store, by balancer
 
+	longPauses atomic.Bool // whether callers pause for long between their requests
+
 	mu          sync.Mutex
 	storeModes  []platformtest.Mode // of the store, by balancer
 	pauseCounts map[*process]int    // active faults that pause the process
@@ -123,7 +127,7 @@
 		return nil, err
 	}
 	schedule := Schedule(o.Seed, o.Duration, o.balancers(), len(r.agents))
-	result := &Result{Seed: o.Seed, Started: time.Now(), Schedule: schedule, Dir: o.Dir}
+	result := &Result{Seed: o.Seed, Started: time.Now(), Schedule: schedule, Sequence: sequenceOf(o.Seed), Dir: o.Dir}
 	r.runSchedule(ctx, schedule)
 	result.Violations, result.Counts = r.checker.results()
 	return result, ctx.Err()
@@ -158,7 +162,7 @@
 	r.operator.configure(time.Now())
 	r.routers = newRouters(ctx, n)
 	for k := range agents {
-		c, err := newCaller(n, r.routers, r.checker, r.vms, k, o.Seed, []netip.AddrPort{reroutedService, fixedService})
+		c, err := newCaller(n, r.routers, r.checker, r.vms, k, o.Seed, []netip.AddrPort{reroutedService, fixedService}, &r.longPauses)
 		if err != nil {
 			return r, err
 		}
@@ -307,6 +311,9 @@
 	}
 	faults.Wait()
 	r.awaitRecovery(ctx)
+	if err := r.playSequence(ctx, sequenceOf(r.opts.Seed)); err != nil {
+		r.checker.report(time.Now(), "soak", "%s: %v", sequenceOf(r.opts.Seed), err)
+	}
 	pause.For(ctx, 2*settleTime) // every subject counts as undisturbed for the second half
 	stop()
 	callers.Wait()
--- a/internal/soak/tcp_proxy.go
+++ b/internal/soak/tcp_proxy.go
@@ -27,7 +27,7 @@
 
 	mu        sync.Mutex
 	fault     connectionFault
-	openConns map[*net.TCPConn]bool // client side of the open connections
+	openConns map[*net.TCPConn]bool // client side of the open connections; true if it is silent for good
 }
 
 func newTCPProxy(n *network, at, to netip.AddrPort) (*tcpProxy, error) {
@@ -62,12 +62,31 @@
 	}
 }
 
+// silenceOpen drops all data of the connections that are open now, for good.
+func (p *tcpProxy) silenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.openConns {
+		p.openConns[c] = true
+	}
+}
+
 func (p *tcpProxy) currentFault() connectionFault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.fault
 }
 
+// faultOf returns the fault of a connection.
+func (p *tcpProxy) faultOf(c *net.TCPConn) connectionFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.openConns[c] {
+		return silenceBoth
+	}
+	return p.fault
+}
+
 // closeWithReset closes a connection with a TCP reset instead of a FIN.
 func closeWithReset(c *net.TCPConn) {
 	_ = c.SetLinger(0)
@@ -86,15 +105,15 @@
 		return
 	}
 	p.mu.Lock()
-	p.openConns[c] = true
+	p.openConns[c] = false
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
 	go func() {
-		p.copy(up, c, silenceBoth)
+		p.copy(c, up, c, silenceBoth)
 		done <- struct{}{}
 	}()
 	go func() {
-		p.copy(c, up, silenceBoth, silenceAnswers)
+		p.copy(c, c, up, silenceBoth, silenceAnswers)
 		done <- struct{}{}
 	}()
 	<-done
@@ -106,16 +125,16 @@
 	p.mu.Unlock()
 }
 
-// copy forwards bytes until an end closes, and drops them under the listed faults.
-// Only the direction of answers lists more than one.
-func (p *tcpProxy) copy(to, from net.Conn, droppedUnder ...connectionFault) {
+// copy forwards bytes of a client's connection until an end closes, and drops them under the
+// listed faults. Only the direction of answers lists more than one.
+func (p *tcpProxy) copy(client *net.TCPConn, to, from net.Conn, droppedUnder ...connectionFault) {
 	b := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(b)
 		if err != nil {
 			return
 		}
-		fault := p.currentFault()
+		fault := p.faultOf(client)
 		dropped := false
 		for _, s := range droppedUnder {
 			dropped = dropped || s == fault
