--- a/internal/coordination/statesync/exchange_test.go
+++ b/internal/coordination/statesync/exchange_test.go
@@ -21,13 +21,13 @@
 // exchange plays feeds whose reads, heartbeats and pulls a schedule chooses one by one. What
 // the store had at each position is kept, and compared with the feeds that are there.
 type exchange struct {
-	now    time.Time
-	store  *history
-	copies []*history
-	had    map[currantturn.Position]string
-	feeds  []*exchangeFeed
-	sent   []sentHeartbeat
-	served int // version of the last configuration
+	now     time.Time
+	store   *history
+	copies  []*history
+	had     map[currantturn.Position]string
+	feeds   []*exchangeFeed
+	sent    []sentHeartbeat
+	version int // of the last configuration
 }
 
 // exchangeFeed is one feed of an exchange.
@@ -45,7 +45,7 @@
 }
 
 func newExchange(feeds int, earlier func(n int) bool) *exchange {
-	x := &exchange{now: time.Unix(1_000_000, 0), store: newHistory(), had: map[currantturn.Position]string{}, served: 7}
+	x := &exchange{now: time.Unix(1_000_000, 0), store: newHistory(), had: map[currantturn.Position]string{}, version: 7}
 	x.store.configure(7)
 	x.write(func() { x.store.register(registration("s0", 1)) })
 	for n := range feeds {
@@ -275,8 +275,8 @@
 			f.Tick(x.now, &out)
 			x.collect(f, &out)
 		case "configure":
-			x.served++
-			x.write(func() { x.store.configure(currantturn.Version(x.served)) })
+			x.version++
+			x.write(func() { x.store.configure(currantturn.Version(x.version)) })
 		case "compact":
 			x.store.compact()
 		case "restart":
@@ -291,7 +291,7 @@
 		x.expectHad()
 	}
 	x.store.away = false
-	x.write(func() { x.store.configure(currantturn.Version(x.served + 1)) })
+	x.write(func() { x.store.configure(currantturn.Version(x.version + 1)) })
 	// Until everything was read once more after a return from a copy.
 	for range 700 {
 		x.now = x.now.Add(100 * time.Millisecond)
