--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -60,14 +60,14 @@
 	maxHeartbeatChanges = 4
 	// maxHeartbeatPeers bounds the addresses of other balancers in one heartbeat.
 	maxHeartbeatPeers = 14
-	// minCheckSpread is the least time within which a balancer reads everything after a peer
-	// showed another state at the same position, and checkInterval the least time between
-	// two such reads. Those of all balancers make checkRate calls a second at most, at
-	// pageItems registrations a call.
+	// minCheckSpread is the least time over which the complete reads after a difference of
+	// states are spread, and checkInterval the least time between two of them.
 	minCheckSpread = time.Second
 	checkInterval  = 10 * time.Second
-	checkRate      = 1000
-	pageItems      = 500
+	// checkRate is how many calls a second these reads of all balancers make at most, at
+	// pageItems registrations a call.
+	checkRate = 1000
+	pageItems = 500
 	// maxPeers bounds the stored balancers: from this number on, none are added from
 	// the addresses in heartbeats.
 	maxPeers = 1024
--- a/internal/coordination/statesync/digest.go
+++ b/internal/coordination/statesync/digest.go
@@ -10,6 +10,14 @@
 	"github.com/currantturn/currantturn/internal/event"
 )
 
+// checkState is what a feed knows of the check of its state: a complete read of the store
+// because a peer has another state at the same position.
+type checkState struct {
+	at         time.Time   // when the check is due; zero if no peer differs
+	finishedAt time.Time   // end of the last check
+	listed     stateDigest // of the last state that was read from the store as a whole
+}
+
 // digest returns a digest of what the store has at the position of the state, which is never
 // 0. It returns 0 while that is not known: without a complete state, and while what a store
 // says that returned from a copy is compared with what was known.
@@ -43,11 +51,11 @@
 		out.Event(event.StateDiffers, event.F("peer", from), event.F("era", h.Era), event.F("revision", h.Revision),
 			event.F("own", own), event.F("theirs", h.Digest))
 	}
-	read := f.listed == stateDigest{f.state.Position, own} // so the peer has missed a change
-	if read || !f.checkAt.IsZero() || now.Sub(f.checkedAt) < checkInterval {
+	read := f.check.listed == stateDigest{f.state.Position, own} // so the peer has missed a change
+	if read || !f.check.at.IsZero() || now.Sub(f.check.finishedAt) < checkInterval {
 		return false
 	}
-	f.checkAt = now.Add(time.Duration(f.rng.Int64N(int64(f.checkSpread(now, own)))))
+	f.check.at = now.Add(time.Duration(f.rng.Int64N(int64(f.checkSpread(now, own)))))
 	return true
 }
 
@@ -86,7 +94,7 @@
 // checkDue reports whether everything is to be read because a peer has another state at the
 // same position.
 func (f *Feed) checkDue(now time.Time) bool {
-	return !f.checkAt.IsZero() && !now.Before(f.checkAt)
+	return !f.check.at.IsZero() && !now.Before(f.check.at)
 }
 
 // cancelCheck ends a check that is due if no peer differs any more, and reports whether it
@@ -101,22 +109,22 @@
 			return false
 		}
 	}
-	f.checkAt = time.Time{}
+	f.check.at = time.Time{}
 	return true
 }
 
 // postponeCheck postpones a check whose read was overtaken by a newer state.
 func (f *Feed) postponeCheck(now time.Time) {
-	if !f.checkAt.IsZero() {
-		f.checkAt = now.Add(minCheckSpread)
+	if !f.check.at.IsZero() {
+		f.check.at = now.Add(minCheckSpread)
 	}
 }
 
 // finishCheck records a complete read of the store, after which the own state is right.
 func (f *Feed) finishCheck(now time.Time) {
-	if !f.checkAt.IsZero() {
-		f.checkAt, f.checkedAt = time.Time{}, now
+	if !f.check.at.IsZero() {
+		f.check.at, f.check.finishedAt = time.Time{}, now
 		f.counts.Checks++
 	}
-	f.listed = stateDigest{f.state.Position, f.digest()}
+	f.check.listed = stateDigest{f.state.Position, f.digest()}
 }
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -74,12 +74,8 @@
 	trustedFrom time.Time
 	// lapsedUntil is the time until which a backend server that runs may not be registered:
 	// after the first state, and after an outage of the store.
-	lapsedUntil time.Time
-	// checkAt is when everything is read because a peer has another state at the same
-	// position; zero if none differs.
-	checkAt          time.Time
-	checkedAt        time.Time   // last such read
-	listed           stateDigest // of the last state that was read from the store as a whole
+	lapsedUntil      time.Time
+	check            checkState
 	era              eraState
 	drained          drainedState
 	startedAt        time.Time
@@ -131,7 +127,7 @@
 	}
 	s.Drained = f.drained.domains.Entries(now)
 	s.Complete, s.DrainedKnown = !f.incomplete, !f.incomplete
-	s.ResetsHeld = f.incomplete || !f.checkAt.IsZero()
+	s.ResetsHeld = f.incomplete || !f.check.at.IsZero()
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
 	s.Unverified, s.PlacementHeld = f.verifying(), f.placementHeld(now)
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -16,7 +16,7 @@
 // Outcomes of a heartbeat.
 const (
 	OutcomeNone    Outcome = "none"    // the state stays as it was
-	OutcomeChanged Outcome = "changed" // the heartbeat's change was applied to the state
+	OutcomeChanged Outcome = "changed" // the heartbeat's change was applied to the state, or no flow may be reset by it for now
 	OutcomePull    Outcome = "pull"    // the sender's state is newer, or its record reaches further back: pull it
 )
 
