--- a/cmd/currantturn/fleet_test.go
+++ b/cmd/currantturn/fleet_test.go
@@ -118,19 +118,33 @@
 	<-m.done
 }
 
-// freePort returns a free port on loopback. It does not reserve the port: the tests
-// expect a network of their own, in which no other program takes ports.
+// The specs' ports are below those that the kernel gives out, so that no connection of
+// another process gets one before the process under test binds it.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// lastPort counts the ports given out; specs of another process begin elsewhere.
+var lastPort = os.Getpid() * 61
+
+// freePort returns a port that nobody has bound on 127.0.0.1.
 func freePort(network string) netip.AddrPort {
-	if network == "tcp" {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer ln.Close()
-		return ln.Addr().(*net.TCPAddr).AddrPort()
+	for range portCount {
+		lastPort++
+		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+lastPort%portCount))
+		if network == "tcp" {
+			if ln, err := net.Listen("tcp", at.String()); err == nil {
+				Expect(ln.Close()).To(Succeed())
+				return at
+			}
+		} else if c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err == nil {
+			Expect(c.Close()).To(Succeed())
+			return at
+		}
 	}
-	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	Expect(err).NotTo(HaveOccurred())
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+	Fail("no free port")
+	return netip.AddrPort{}
 }
 
 // fleet is a deployment of three balancers and three agents, each a process of the
