review: case 6, an open flow is reset after an old opening packet

A balancer that froze forwards old opening packets; the agent that restarted meanwhile takes one for a new flow and denies the open one.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/currantturn ] && [ -x target/review-2/6 ] || exit 2
+exec timeout 118 target/review-2/6
