--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -41,17 +41,18 @@
 	store             *platformtest.Store
 	health            *http.Server
 
-	mu       sync.Mutex
-	conn     *net.UDPConn
-	flows    map[FlowID]*hostFlow
-	ended    map[FlowID]bool
-	state    string
-	sequence uint64
-	born     int64
-	strays   map[FlowID]int // packets of flows that it does not hold
-	runs     map[string]int // by the id of the attempt
-	rng      *rand.Rand
-	stop     chan struct{}
+	mu        sync.Mutex
+	conn      *net.UDPConn
+	flows     map[FlowID]*hostFlow
+	ended     map[FlowID]bool
+	state     string
+	sequence  uint64
+	born      int64
+	strays    map[FlowID]int // packets of flows that it does not hold
+	runs      map[string]int // by the id of the attempt
+	rng       *rand.Rand
+	stop      chan struct{}
+	startedAt time.Time
 }
 
 // start opens the sockets of the host, serves and registers it.
@@ -68,6 +69,7 @@
 	go func() { _ = h.health.Serve(ln) }() // returns after Close
 	h.conn, h.state, h.born, h.stop = conn, "ready", time.Now().UnixMilli(), make(chan struct{})
 	h.flows, h.ended, h.strays = make(map[FlowID]*hostFlow), make(map[FlowID]bool), make(map[FlowID]int)
+	h.startedAt = time.Now()
 	h.runs, h.rng = make(map[string]int), rand.New(rand.NewPCG(uint64(h.born), uint64(h.Address.Addr().As4()[3])))
 	h.Beat()
 	go h.serve()
@@ -103,6 +105,36 @@
 	}
 }
 
+// SetState changes the state that the host registers, and registers it.
+func (h *Host) SetState(state string) {
+	h.mu.Lock()
+	h.state = state
+	h.mu.Unlock()
+	h.Beat()
+}
+
+// Crash ends the host, which forgets everything. Its registration stays for a while.
+func (h *Host) Crash() {
+	h.record.Printf("host %s: crashes", h.ID)
+	h.close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.flows, h.sequence = make(map[FlowID]*hostFlow), 0
+}
+
+// Restart starts the host again under its id.
+func (h *Host) Restart() error {
+	h.record.Printf("host %s: starts again", h.ID)
+	return h.start(Heartbeat)
+}
+
+// Undisturbed returns how long ago the host was started.
+func (h *Host) Undisturbed(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.startedAt)
+}
+
 func (h *Host) close() {
 	close(h.stop)
 	_ = h.conn.Close()
