--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -124,10 +124,10 @@
 	return d, d.awaitReady(ctx)
 }
 
-// reserve finds a free block of loopback addresses.
+// reserve finds a free block of loopback addresses, apart from those of the soak.
 func (d *Deployment) reserve() error {
-	for b := range 100 {
-		d.block = byte(20 + (os.Getpid()+b)%200)
+	for b := range 22 {
+		d.block = byte(232 + (os.Getpid()+b)%22)
 		ln, err := net.Listen("tcp4", d.address(9, 0, 1024+storePort).String())
 		if err == nil {
 			d.closers = append(d.closers, func() { _ = ln.Close() })
