--- a/review/harness/case.go
+++ b/review/harness/case.go
@@ -60,8 +60,8 @@
 
 // JudgeReset reports whether the reset of a flow breaks FLOW: its host holds the flow and
 // did not write the reset, and the machines that took the packets, of the host and of the
-// sender are in touch.
-func (d *Deployment) JudgeReset(f *Flow, holder int) (broken bool) {
+// sender are in touch. A process under planned work, which may be nil, excuses nothing.
+func (d *Deployment) JudgeReset(f *Flow, holder int, planned *Process) (broken bool) {
 	now := time.Now()
 	record := d.opts.Record
 	host := d.Hosts[holder]
@@ -79,8 +79,9 @@
 	}
 	broken = host.Holds(f.ID) && !f.ResetByHost && now.Sub(f.OpenedAt) < FlowLifetime && now.Sub(f.LastUsed) < IdleTimeout
 	for _, p := range machines {
-		record.Printf("check: %s: %s undisturbed for %s, needed %s", f.ID, p.Name, p.Undisturbed(now).Round(time.Millisecond), SettleWindow)
-		broken = broken && p.Undisturbed(now) >= SettleWindow
+		record.Printf("check: %s: %s undisturbed for %s, needed %s, planned work %t",
+			f.ID, p.Name, p.Undisturbed(now).Round(time.Millisecond), SettleWindow, p == planned)
+		broken = broken && (p == planned || p.Undisturbed(now) >= SettleWindow)
 	}
 	record.Printf("check: %s: reset by %s, age %s, idle %s, %s holds it: %t; FLOW broken: %t", f.ID, f.ResetBy,
 		now.Sub(f.OpenedAt).Round(time.Millisecond), now.Sub(f.LastUsed).Round(time.Millisecond), host.ID, host.Holds(f.ID), broken)
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -93,7 +93,6 @@
 	ResetBy     netip.AddrPort
 	ResetByHost bool
 	Took        []string // balancers that the packets of the last request were sent to
-	Copies      int      // copies of the SYN that were sent
 }
 
 // NewFlow returns a flow that is not open yet.
@@ -134,7 +133,6 @@
 				f.client.record.Printf("client: %s was refused by %s", f.ID, r.from)
 				return ErrNotOpened
 			case r.packet.Flags == platformtest.Open|platformtest.Ack:
-				f.Copies = int(f.acked)
 				f.next++
 				f.acked = r.packet.Sequence + 1
 				f.OpenedAt, f.LastUsed = time.Now(), time.Now()
@@ -192,23 +190,6 @@
 	}
 }
 
-// Pending returns the flow's packets that have arrived since the last request: whether the
-// flow was reset meanwhile.
-func (f *Flow) Pending() error {
-	for {
-		select {
-		case r := <-f.received:
-			if r.packet.Flags&platformtest.Reset != 0 && (r.packet.Intact || near(r.packet.Sequence, f.acked)) {
-				f.ResetBy, f.ResetByHost = r.from, r.packet.Intact
-				f.client.record.Printf("client: %s was reset by %s while idle, written by a host: %t", f.ID, r.from, r.packet.Intact)
-				return ErrReset
-			}
-		default:
-			return nil
-		}
-	}
-}
-
 // Close sends the end of the flow.
 func (f *Flow) Close() { f.send(platformtest.Close|platformtest.Ack, "") }
 
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -33,7 +33,6 @@
 	GracePeriod  = 6 * time.Second
 	IdleTimeout  = 15 * time.Second
 	FlowLifetime = 60 * time.Second
-	FlowReorder  = 2 * time.Second
 	Heartbeat    = 1200 * time.Millisecond
 )
 
@@ -55,7 +54,6 @@
 // Deployment is a small deployment on loopback.
 type Deployment struct {
 	Store     *platformtest.Store
-	StoreMode func(balancer int) platformtest.Mode // nil if the store is always available
 	Balancers []*Process
 	Agents    []*Process // beside the host with the same index
 	Hosts     []*Host
@@ -153,12 +151,7 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: d.Store.Handler(func() platformtest.Mode {
-		if d.StoreMode == nil {
-			return platformtest.Normal
-		}
-		return d.StoreMode(i)
-	})}
+	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: d.Store.Handler(func() platformtest.Mode { return platformtest.Normal })}
 	go func() { _ = s.Serve(ln) }() // returns after Close
 	d.closers = append(d.closers, func() { _ = s.Close() })
 	p := d.newProcess(fmt.Sprintf("balancer-%d", i+1), "flow_balancer")
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -41,18 +41,16 @@
 	store             *platformtest.Store
 	health            *http.Server
 
-	mu        sync.Mutex
-	conn      *net.UDPConn
-	flows     map[FlowID]*hostFlow
-	ended     map[FlowID]bool
-	state     string
-	sequence  uint64
-	born      int64
-	strays    map[FlowID]int // packets of flows that it does not hold
-	runs      map[string]int // by the id of the attempt
-	rng       *rand.Rand
-	stop      chan struct{}
-	startedAt time.Time
+	mu       sync.Mutex
+	conn     *net.UDPConn
+	flows    map[FlowID]*hostFlow
+	ended    map[FlowID]bool
+	state    string
+	sequence uint64
+	born     int64
+	runs     map[string]int // by the id of the attempt
+	rng      *rand.Rand
+	stop     chan struct{}
 }
 
 // start opens the sockets of the host, serves and registers it.
@@ -68,8 +66,7 @@
 	h.health = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { _ = h.health.Serve(ln) }() // returns after Close
 	h.conn, h.state, h.born, h.stop = conn, "ready", time.Now().UnixMilli(), make(chan struct{})
-	h.flows, h.ended, h.strays = make(map[FlowID]*hostFlow), make(map[FlowID]bool), make(map[FlowID]int)
-	h.startedAt = time.Now()
+	h.flows, h.ended = make(map[FlowID]*hostFlow), make(map[FlowID]bool)
 	h.runs, h.rng = make(map[string]int), rand.New(rand.NewPCG(uint64(h.born), uint64(h.Address.Addr().As4()[3])))
 	h.Beat()
 	go h.serve()
@@ -97,6 +94,18 @@
 	h.store.Register(h.ID, r)
 }
 
+// AwaitBeat waits for the next registration that the host writes.
+func (h *Host) AwaitBeat() {
+	count := func() uint64 {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.sequence
+	}
+	for first := count(); count() == first; {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Registration returns what the host writes of itself.
 func (h *Host) Registration() platformtest.Registration {
 	return platformtest.Registration{
@@ -105,36 +114,6 @@
 	}
 }
 
-// SetState changes the state that the host registers, and registers it.
-func (h *Host) SetState(state string) {
-	h.mu.Lock()
-	h.state = state
-	h.mu.Unlock()
-	h.Beat()
-}
-
-// Crash ends the host, which forgets everything. Its registration stays for a while.
-func (h *Host) Crash() {
-	h.record.Printf("host %s: crashes", h.ID)
-	h.close()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.flows, h.sequence = make(map[FlowID]*hostFlow), 0
-}
-
-// Restart starts the host again under its id.
-func (h *Host) Restart() error {
-	h.record.Printf("host %s: starts again", h.ID)
-	return h.start(Heartbeat)
-}
-
-// Undisturbed returns how long ago the host was started.
-func (h *Host) Undisturbed(now time.Time) time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return now.Sub(h.startedAt)
-}
-
 func (h *Host) close() {
 	close(h.stop)
 	_ = h.conn.Close()
@@ -148,13 +127,6 @@
 	return h.flows[id] != nil && h.flows[id].open
 }
 
-// Runs returns how often the host ran the attempt.
-func (h *Host) Runs(attempt string) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.runs[attempt]
-}
-
 func (h *Host) serve() {
 	b := make([]byte, 2048)
 	for {
@@ -191,7 +163,6 @@
 		h.send(platformtest.Packet{From: id.Service, To: id.Client, Flags: platformtest.Ack, Sequence: p.Acked, Acked: p.Sequence + 1})
 	case h.ended[id]:
 	case f == nil, !f.open && p.Acked != f.initial+1:
-		h.strays[id]++
 		platformtest.Bounce(d)
 		_, _ = h.conn.WriteToUDPAddrPort(d, h.outbound) // a lost packet is sent again
 	case p.Flags&platformtest.Reset != 0:
