--- a/review/harness/case.go
+++ b/review/harness/case.go
@@ -22,12 +22,13 @@
 // leaves the disruption out.
 type Case func(ctx context.Context, trouble bool, record *Record) (broken int, err error)
 
-// Main runs a case from the folder in the first argument and exits with its result.
-func Main(run Case) {
-	os.Exit(runCase(run))
+// Main runs a case, with its disruption or without, for the folder in the first argument and
+// exits with its result.
+func Main(trouble bool, run Case) {
+	os.Exit(runCase(trouble, run))
 }
 
-func runCase(run Case) int {
+func runCase(trouble bool, run Case) int {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: case FOLDER")
 		return exitNotRun
@@ -40,7 +41,6 @@
 	defer record.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	trouble := os.Getenv("TROUBLE") != "0"
 	record.Printf("case: disruption %t", trouble)
 	broken, err := run(ctx, trouble, record)
 	switch {
