flowagent: an agent denies nothing by a record of a late opening packet

Cause: the balancer forwards the copies of opening packets that lay in its socket. The agent's new process takes such a copy for the start of a flow and made a record that stood for knowledge since that start. By it, it returned the flow's data and denied the flow in searches, which is proof.

Ruled out: the balancer's record (the agent's denial starts a search among all), and the age of the packet (a balancer does not know how long it lay in the socket).

Fix: a record made by an opening packet while flows may be older than the process says so; by it, nothing is denied, data with unknown acknowledgements goes to the backend server, and what that sends shows whether it holds the flow. An agent with records of all flows is as certain as before.

The callers of the simulation now acknowledge what they read: without that, the fault does not show there.

--- a/internal/coordination/flowagent/agent.go
+++ b/internal/coordination/flowagent/agent.go
@@ -212,8 +212,10 @@
 			switch {
 			case r == nil && !a.recordsComplete(now), r != nil && r.progress == unconfirmed:
 				list = &reply.Unsure
-			case r == nil || r.progress == opening || !r.acknowledges(acked):
+			case r == nil || !r.mayHold(acked):
 				list = &reply.Absent
+			case r.progress == opening || !r.acknowledges(acked):
+				list = &reply.Unsure
 			}
 			return r
 		})
--- a/internal/coordination/flowagent/answer.go
+++ b/internal/coordination/flowagent/answer.go
@@ -32,13 +32,13 @@
 			}
 			a.tracker.addOpenFlows(1)
 		}
-		if r.progress == unconfirmed {
-			if p.Mark == currantturn.MarkOpening {
-				return r // the backend server still awaits the caller's acknowledgement
-			}
-			r.progress = open
+		switch {
+		case r.shows(p):
+			r.progress, r.openingPacket = open, nil
 			a.tracker.addOpenFlows(1)
 			out.Send(r.balancer, relay.Held{Flow: relay.FlowOf(p.Flow)})
+		case r.progress == unconfirmed:
+			return r // the backend server still awaits the caller's acknowledgement
 		}
 		a.updateFromBackend(now, p, r, out)
 		return r
--- a/internal/coordination/flowagent/record.go
+++ b/internal/coordination/flowagent/record.go
@@ -28,6 +28,7 @@
 	firstSequence     uint32         // sequence number of the backend server's answer to the opening packet
 	lastSequence      uint32         // highest sequence number sent by the backend server
 	sequencesKnown    bool           // true if firstSequence and lastSequence are known
+	mayBeOlder        bool           // the flow may be older than the agent: its opening packet may be a late copy
 	attemptStarted    time.Time      // when the caller's attempt started; zero after its first request
 	requestStarted    time.Time      // when the request in progress was delivered; zero if there is none
 	storedPackets     [][]byte       // packets of a request that waits for a slot
@@ -49,6 +50,24 @@
 	return !r.sequencesKnown || acked-r.firstSequence <= r.lastSequence-r.firstSequence+1
 }
 
+// mayHold reports whether the backend server may hold the flow of a caller's packet.
+// Without a record from the start of the flow, only the backend server knows.
+func (r *flowRecord) mayHold(acked uint32) bool {
+	return r.mayBeOlder && r.progress != closed || r.progress != opening && r.acknowledges(acked)
+}
+
+// shows reports whether a packet of the backend server shows that it holds the flow, of
+// which the agent has not seen the start. An answer to an opening packet does not.
+func (r *flowRecord) shows(p *currantturn.Packet) bool {
+	switch r.progress {
+	case unconfirmed:
+		return p.Mark != currantturn.MarkOpening
+	case opening, answered:
+		return r.mayBeOlder && p.Mark != currantturn.MarkOpening && p.Mark != currantturn.MarkReset
+	}
+	return false
+}
+
 // isRepeat reports whether a caller's data was delivered before.
 func (r *flowRecord) isRepeat(p *currantturn.Packet) bool {
 	return r.nextSequenceKnown && int32(p.Sequence+uint32(p.DataSize)-r.nextSequence) <= 0
--- a/internal/coordination/flowagent/route.go
+++ b/internal/coordination/flowagent/route.go
@@ -119,30 +119,27 @@
 	return &flowRecord{
 		progress: opening, balancer: in.from, openingSent: in.now, lastSeen: in.now,
 		openingPacket: bytes.Clone(in.packet.Payload), attemptStarted: in.now.Add(-attemptAge(in.packet.Acked)),
+		mayBeOlder: !a.recordsComplete(in.now),
 	}
 }
 
 // handleNonOpening processes any other packet of a flow; the flow may have been
 // opened here or at another backend server.
 func (a *Agent) handleNonOpening(in *inboundPacket, r *flowRecord) *flowRecord {
-	if r == nil {
-		if a.recordsComplete(in.now) {
-			a.refuse(in)
-			return nil
-		}
-		// The flow may be older than this process. The backend server bounces the
-		// packet if it does not hold the flow.
-		a.deliver(in)
-		return &flowRecord{progress: unconfirmed, balancer: in.from, searched: in.intent == currantturn.IntentSearch, lastSeen: in.now}
+	if r == nil && a.recordsComplete(in.now) {
+		a.refuse(in)
+		return nil
 	}
-	if r.progress == unconfirmed {
-		r.balancer, r.searched, r.lastSeen = in.from, in.intent == currantturn.IntentSearch, in.now
-		a.deliver(in)
-		return r
+	if r == nil || r.progress == unconfirmed {
+		return a.deliverUnconfirmed(in)
 	}
 	if r.progress == opening || !r.acknowledges(in.packet.Acked) && in.packet.Mark != currantturn.MarkReset {
-		a.refuse(in)
-		return r
+		if !r.mayHold(in.packet.Acked) {
+			a.refuse(in)
+			return r
+		}
+		a.removeFromLoad(in.now, in.packet.Flow, r)
+		return a.deliverUnconfirmed(in)
 	}
 	if r.progress == answered {
 		r.progress = open
@@ -170,6 +167,13 @@
 	return r
 }
 
+// deliverUnconfirmed delivers a packet of a flow that may be older than this process. The
+// backend server bounces the packet if it does not hold the flow.
+func (a *Agent) deliverUnconfirmed(in *inboundPacket) *flowRecord {
+	a.deliver(in)
+	return &flowRecord{progress: unconfirmed, balancer: in.from, searched: in.intent == currantturn.IntentSearch, lastSeen: in.now}
+}
+
 // deliver sends the packet to the backend server, tagged with the balancer that a
 // bounced packet is returned to.
 func (a *Agent) deliver(in *inboundPacket) {
--- a/internal/coordination/flowbalancer/caller_test.go
+++ b/internal/coordination/flowbalancer/caller_test.go
@@ -80,6 +80,7 @@
 		c.acked, c.nextSequence = p.Sequence+1, c.initialSequence+1
 		c.sendRequest(sim)
 	case p.DataSize > 0 && !c.requestSent.IsZero():
+		c.acked = p.Sequence + uint32(p.DataSize)
 		c.answerTimes = append(c.answerTimes, sim.now.Sub(c.requestSent))
 		c.requestSent = time.Time{}
 		if c.pause > 0 {
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -34,6 +34,8 @@
 	firstRetransmit = 200 * time.Millisecond
 	// openTimeout is when a caller gives up opening a flow.
 	openTimeout = 1400 * time.Millisecond
+	// answerSize is the size of an answer's data in bytes.
+	answerSize = 100
 )
 
 var serviceAddress = netip.MustParseAddrPort("198.18.0.1:443")
@@ -122,7 +124,10 @@
 }
 
 // connection is the state of a flow at its backend server, as sequence numbers.
-type connection struct{ initialSequence, nextSequence uint32 }
+type connection struct {
+	initialSequence, sent uint32 // sent is the size of the data sent
+	nextSequence          uint32 // of the caller
+}
 
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
@@ -488,7 +493,9 @@
 		conn.nextSequence += uint32(p.DataSize)
 		sim.runRequest(b, func() {
 			b.requestsRun++
-			sim.sendFromBackend(b, encodePacket(serviceAddress, p.Flow.Caller, ack, conn.initialSequence+1, conn.nextSequence, 100))
+			sequence := conn.initialSequence + 1 + conn.sent
+			conn.sent += answerSize
+			sim.sendFromBackend(b, encodePacket(serviceAddress, p.Flow.Caller, ack, sequence, conn.nextSequence, answerSize))
 		})
 	}
 }
