flowbalancer: a copy of an opening packet follows the route in force

Cause: while a new flow awaits the answer of a backend server, the caller's copies go to that one. Only a drained failure domain was looked at, not whether the route still leads to its service. A copy sent after the change was the first one that arrived.

Ruled out: the version in force at the balancer, and first copies and retries, which follow the route.

Fix: such a copy is placed anew, or dropped while there is no other backend server, as with drained failure domains. It is not refused, since an earlier copy may have opened the flow. Copies of answered flows still go to the backend server that answered.

--- a/internal/coordination/flowbalancer/route.go
+++ b/internal/coordination/flowbalancer/route.go
@@ -53,7 +53,7 @@
 				b.place(now, p, route, packet, e, out)
 				return b.dropIfUndecided(e)
 			}
-			if b.holderDrained(now, p, e) {
+			if b.holderDrained(now, p, e) || p.holderUnrouted(route, e) {
 				b.placeCopy(now, p, route, packet, e, out)
 				return e
 			}
@@ -158,6 +158,13 @@
 	}
 }
 
+// holderUnrouted reports whether a new flow awaits the answer of a backend server of a
+// service that the route does not lead to any more.
+func (p *plan) holderUnrouted(route *currantturn.FlowRoute, e *entry) bool {
+	return e.progress == placing && e.holder != nil && !p.provisional &&
+		!slices.ContainsFunc(route.Shares, func(s currantturn.Share) bool { return s.Service == e.holder.entry.Service })
+}
+
 // awaitAnswer leaves an opening packet with a backend server that has not answered it yet
 // and that the caller's copies go to. It returns false if none of those that had the packet
 // can be expected to answer. A reset might cross the answer, and end an open flow.
--- a/internal/coordination/flowbalancer/route_change_test.go
+++ b/internal/coordination/flowbalancer/route_change_test.go
@@ -1,6 +1,7 @@
 package flowbalancer_test
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -80,3 +81,70 @@
 		}
 	})
 })
+
+// Guards against new flows at a service that their route has left (review/7): the agents of the
+// service do not answer, the route moves, and the callers send copies of their opening packets.
+var _ = Describe("an opening packet without an answer, whose route moves to another service", func() {
+	DescribeTable("is not sent again to the former service", func(others bool) {
+		sim := newSimulation(71)
+		for n := range 6 {
+			sim.addBackendOf([]currantturn.ServiceName{"verify", "reports"}[n%2], 3)
+		}
+		sim.addBalancer()
+		sim.publish()
+		isFormer := func(b *backendVM) bool { return b.registration.Service == "verify" }
+		sim.drop = func(_, to netip.Addr) bool { return to.As4()[1] == 2 } // agents receive nothing
+		var callers []*caller
+		for range 30 {
+			callers = append(callers, sim.addCaller(0))
+		}
+		sim.run(300 * time.Millisecond)
+		next := *sim.routing
+		next.Version++
+		next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
+		next.Routes[0].Shares = []currantturn.Share{{Service: "reports", Weight: 1}}
+		sim.routing = &next
+		if !others {
+			for _, b := range sim.backends {
+				b.unlisted = !isFormer(b)
+			}
+		}
+		sim.publish()
+		sim.drop = nil
+		sim.run(2 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		for _, b := range sim.backends {
+			if isFormer(b) {
+				Expect(b.openings).To(BeEmpty(), "at %s", b.registration.ID)
+			}
+		}
+		for _, c := range callers {
+			Expect(c.refused).To(BeZero(), "an earlier copy may have opened the flow")
+			Expect(c.answerTimes).To(HaveLen(map[bool]int{true: 1}[others]))
+		}
+	},
+		Entry("while the new one has backend servers", true),
+		Entry("while the new one has none", false),
+	)
+
+	// The backend server's answer is lost, and the caller's copy makes it repeat the answer.
+	It("still opens the flow at a backend server that had it before", func() {
+		sim := newSimulation(72)
+		sim.addBackendOf("verify", 3).openDelay = 250 * time.Millisecond
+		sim.addBackendOf("reports", 3)
+		sim.addBalancer()
+		sim.publish()
+		c := sim.addCaller(0)
+		sim.run(230 * time.Millisecond)
+		next := *sim.routing
+		next.Version++
+		next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
+		next.Routes[0].Shares = []currantturn.Share{{Service: "reports", Weight: 1}}
+		sim.routing = &next
+		sim.publish()
+		sim.run(2 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		Expect(c.refused + c.resets + c.failed).To(BeZero())
+		Expect(c.answerTimes).To(HaveLen(1))
+	})
+})
