roster, statesync: another writer's entry ends no registration at once

Cause: what stood under the ID took the place of the registration in force at once. The agent was in no plan any more, and the others' denials were taken for proof; or the value counted as a removal, and with a silent agent as the end of the backend server.

Fix: a value that can't be used is told apart from a removal (Item.Unusable). A registration stays in force for two heartbeats after something else was written under its ID, another service or address is kept as its rival meanwhile, and both agents are asked. An earlier address stays searchable for the lifetime of a flow; what was displaced by something else counts as ended by no silence.

--- a/internal/coordination/flowbalancer/foreign_test.go
+++ b/internal/coordination/flowbalancer/foreign_test.go
@@ -1,6 +1,7 @@
 package flowbalancer_test
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -32,6 +33,23 @@
 		}
 	})
 
+	// Guards against resets of open flows (review/11): a balancer that has just started reads
+	// the other writer's entry first, and the backend server's own one as its rival.
+	It("does not hide the backend server that has registered under the same ID", func() {
+		sim := startFleet(43, 2, 3, 30)
+		b := sim.backends["verify-01"]
+		own := b.registration
+		b.rival = &own
+		b.registration.Service, b.registration.Address = "elsewhere", netip.MustParseAddrPort("10.9.9.9:9")
+		sim.publish()
+		sim.restartBalancer(sim.balancers[0])
+		sim.run(2 * time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		for _, c := range sim.callers {
+			Expect(c.resets + c.failed).To(BeZero())
+		}
+	})
+
 	// Nothing at its address answers, which proves nothing of a backend server that may
 	// hold flows.
 	It("is not waited for by searches once it is known which services the routes led to", func() {
@@ -52,3 +70,24 @@
 		Expect(sim.searchedFor["elsewhere"]).To(BeZero())
 	})
 })
+
+var _ = Describe("a backend server whose registration can't be read", func() {
+	// Guards against resets of open flows (review/12): its agent is restarted as planned, and
+	// answers nothing meanwhile.
+	DescribeTable("is not taken for ended while its agent is silent", func(unusable bool) {
+		sim := startFleet(44, 2, 3, 30)
+		b := sim.backends["verify-01"]
+		sim.run(time.Second)
+		b.removedAt, b.unusable = sim.now, unusable
+		sim.publish()
+		sim.isolate(b.address.Addr())
+		sim.run(1200 * time.Millisecond)
+		sim.drop = nil
+		sim.restartAgent(b, false)
+		sim.run(3 * time.Second)
+		Expect(len(sim.violations) == 0).To(Equal(unusable), "%v", sim.violations)
+	},
+		Entry("since something else stands under its ID", true),
+		Entry("unlike one whose registration is gone, and whose agent does not answer", false),
+	)
+})
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -83,8 +84,9 @@
 		p.routed[source.Earlier[i].Service] = true
 	}
 	warmUps := indexWarmUps(source.Routing)
-	for i := range source.Servers {
-		e := &source.Servers[i]
+	servers := withClaimants(now, source.Servers)
+	for i := range servers {
+		e := &servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
 		other := p.byAgent[agent]
 		contested := source.Unverified && other != nil && p.contest(e, &other.entry)
@@ -96,9 +98,9 @@
 		p.byAgent[agent].contested = contested
 		p.byAgent[agent].warmUp = warmUps[e.Service]
 	}
-	for i := range source.Servers {
-		t := p.byAgent[netip.AddrPortFrom(source.Servers[i].Address.Addr(), agentPort)]
-		if t.entry.ID != source.Servers[i].ID {
+	for i := range servers {
+		t := p.byAgent[netip.AddrPortFrom(servers[i].Address.Addr(), agentPort)]
+		if t.entry.ID != servers[i].ID {
 			continue
 		}
 		p.targets = append(p.targets, t)
@@ -124,6 +126,18 @@
 	return p
 }
 
+// withClaimants returns the entries of a state with those that their rivals make up, whose
+// agents may hold flows.
+func withClaimants(now time.Time, servers []roster.Entry) []roster.Entry {
+	all := servers
+	for i := range servers {
+		if c, ok := servers[i].Claimant(now); ok {
+			all = append(slices.Clip(all), c)
+		}
+	}
+	return all
+}
+
 // addAnnounced adds the announced agents that no registration refers to.
 func (p *plan) addAnnounced(now time.Time, announced []statesync.Announced, old *plan) {
 	for i := range announced {
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -74,9 +74,10 @@
 // ended reports whether the backend server has ended and so holds no flows: its
 // registration is gone, and its agent does not answer while others do. A missing
 // registration alone is no proof, since it may be removed early; nor is silence, since
-// the VM may be paused or cut off.
+// the VM may be paused or cut off. A registration that something else took the place of
+// proves nothing.
 func (t *target) ended(now, lastReceived time.Time) bool {
-	return t.deregistered() && t.unansweredFor(now, lastReceived) > 0
+	return t.deregistered() && !t.entry.Unusable && t.unansweredFor(now, lastReceived) > 0
 }
 
 // probeEnded records that the agent of a backend server without a registration is probed,
--- a/internal/coordination/statesync/change.go
+++ b/internal/coordination/statesync/change.go
@@ -1,7 +1,9 @@
 package statesync
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/currantturn/currantturn"
@@ -30,25 +32,25 @@
 		case item.Drain != nil:
 			c.orders = append(c.orders, *item.Drain)
 		case item.Registration != nil:
-			c.addServer(now, f.servers, item.Registration.ID)
+			c.addServer(now, f, item.Registration.ID)
 		default:
-			c.addServer(now, f.servers, item.Removed)
+			c.addServer(now, f, cmp.Or(item.Removed, item.Unusable))
 		}
-		if len(c.servers)+len(c.orders) > maxHeartbeatChanges {
+		if len(c.servers)+len(c.orders) > maxHeartbeatChanges || slices.ContainsFunc(c.servers, isDisputed) {
 			return nil
 		}
 	}
 	if len(c.servers) == 0 {
 		// Any unchanged registration shows peers that there is nothing to pull.
-		c.servers = next.Servers[:min(len(next.Servers), 1)]
+		c.servers = undisputed(next.Servers)
 	}
 	return c
 }
 
 // addServer adds the present entry of a backend server, unless it was removed before it was
-// known.
-func (c *change) addServer(now time.Time, servers *roster.Roster, id currantturn.BackendID) {
-	if e, ok := servers.Get(now, id); ok {
+// known, or is disputed as it was in the present state.
+func (c *change) addServer(now time.Time, f *Feed, id currantturn.BackendID) {
+	if e, ok := f.servers.Get(now, id); ok && !sameDispute(f.state.Servers, e) {
 		c.servers = append(c.servers, e)
 	}
 }
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -41,6 +41,11 @@
 	// missing although its backend server runs: about two seconds according to the
 	// platform.
 	lapseGrace = 2500 * time.Millisecond
+	// hiddenGrace is how long a backend server that is not known here may be hidden by
+	// something else under its ID: longer than it takes until it writes again.
+	hiddenGrace = 2500 * time.Millisecond
+	// maxClockError is by how much a backend server's clock may be ahead.
+	maxClockError = time.Hour
 	// verifyDelay is how long after the store's return from a copy everything is read once
 	// more and taken as it is: copied registrations that nobody renews have lapsed by then.
 	// verifyJitter spreads the reads of all balancers.
--- a/internal/coordination/statesync/era.go
+++ b/internal/coordination/statesync/era.go
@@ -103,19 +103,19 @@
 }
 
 // replaceServers applies a complete listing of the registrations.
-func (f *Feed) replaceServers(now time.Time, all []currantturn.Registration) {
+func (f *Feed) replaceServers(now time.Time, all []currantturn.Registration, unusable []currantturn.BackendID) {
 	if f.verificationDue(now) {
 		f.era.verifyAt = time.Time{}
 	}
 	if !f.verifying() {
-		f.servers.Replace(now, all, f.trustedFrom)
+		f.servers.Replace(now, all, unusable, f.trustedFrom)
 		return
 	}
 	entries := make([]roster.Entry, 0, len(all))
 	for _, r := range all {
 		entries = append(entries, roster.Entry{Registration: r})
 	}
-	f.servers.Reconcile(now, entries, f.era.firstRevision, f.trustedFrom)
+	f.servers.Reconcile(now, entries, unusable, f.era.firstRevision, f.trustedFrom)
 }
 
 // learnEarlierEra adds what a peer knows of before the present era began to the own state,
--- a/internal/coordination/statesync/feed.go
+++ b/internal/coordination/statesync/feed.go
@@ -74,7 +74,10 @@
 	trustedFrom time.Time
 	// lapsedUntil is the time until which a backend server that runs may not be registered:
 	// after the first state, and after an outage of the store.
-	lapsedUntil      time.Time
+	lapsedUntil time.Time
+	// hiddenUntil is the time until which a backend server that is not known here may be
+	// hidden by something else under its ID.
+	hiddenUntil      time.Time
 	check            checkState
 	era              eraState
 	drained          drainedState
@@ -127,7 +130,7 @@
 	}
 	s.Drained = f.drained.domains.Entries(now)
 	s.Complete, s.DrainedKnown = !f.incomplete, !f.incomplete
-	s.ResetsHeld = f.incomplete || !f.check.at.IsZero()
+	s.ResetsHeld = f.incomplete || !f.check.at.IsZero() || now.Before(f.hiddenUntil)
 	s.RecordedMS = f.recordedMS(now)
 	s.Earlier = f.earlier.Entries(now)
 	s.Unverified, s.PlacementHeld = f.verifying(), f.placementHeld(now)
@@ -204,7 +207,8 @@
 	if !f.usable() {
 		f.holdPlacement()
 	}
-	if f.usable() && position != f.state.Position || !f.usable() && !f.opts.Fresh {
+	unrecorded := f.usable() && position != f.state.Position || !f.usable() && !f.opts.Fresh
+	if unrecorded {
 		f.recordedSince = now // earlier changes may be missing
 	}
 	f.enterEra(position)
@@ -212,14 +216,17 @@
 	for _, item := range routing.Items {
 		f.setRouting(now, &next, item.Routing, out)
 	}
-	var registrations []currantturn.Registration
-	for _, item := range servers.Items {
-		if item.Registration != nil {
-			registrations = append(registrations, *item.Registration)
-		}
+	registrations, unusable := splitListing(now, servers.Items)
+	if unrecorded && f.mayHide(&next, registrations, unusable) {
+		f.hiddenUntil = now.Add(hiddenGrace)
 	}
 	f.replaceDrained(now, routing)
-	f.replaceServers(now, registrations)
+	for i := range registrations {
+		if r := &registrations[i]; !f.verifying() && f.servers.Contains(r.ID) {
+			f.offer(now, *r, &next) // by what the routes lead to, which the roster does not know
+		}
+	}
+	f.replaceServers(now, registrations, unusable)
 	f.change, f.incomplete = nil, false
 	next.Servers, next.Drained = f.servers.Entries(now), f.drained.domains.Entries(now)
 	f.state = next
@@ -260,12 +267,16 @@
 	switch {
 	case item.Routing != nil:
 		f.setRouting(now, next, item.Routing, out)
-	case item.Registration != nil:
-		f.servers.Put(*item.Registration)
+	case item.Registration != nil && plausible(now, item.Registration):
+		f.offer(now, *item.Registration, next)
 		out.Event(event.RegistrationSeen, event.F("backend", item.Registration.ID),
 			event.F("state", item.Registration.State), event.F("era", next.Era), event.F("revision", next.Revision))
 	case item.Drain != nil:
 		f.drained.domains.Apply(*item.Drain)
+	case item.Removed == "":
+		id := unusableID(item)
+		f.servers.Suspect(now, id, f.trustedFrom)
+		out.Event(event.RegistrationUnusable, event.F("backend", id), event.F("era", next.Era), event.F("revision", next.Revision))
 	default:
 		f.servers.Remove(now, item.Removed, f.trustedFrom)
 		out.Event(event.RegistrationGone, event.F("backend", item.Removed),
@@ -397,7 +408,7 @@
 // adoptServers replaces the registrations by those of a peer's state.
 func (f *Feed) adoptServers(now time.Time, s *State) {
 	if f.verifying() {
-		f.servers.Reconcile(now, s.Servers, f.era.firstRevision, f.trustedFrom)
+		f.servers.Reconcile(now, s.Servers, nil, f.era.firstRevision, f.trustedFrom)
 	} else {
 		f.servers.Update(now, s.Servers)
 	}
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -136,6 +136,10 @@
 		f.era.heldUntil = time.Time{}
 		changed = true
 	}
+	if !f.hiddenUntil.IsZero() && !now.Before(f.hiddenUntil) {
+		f.hiddenUntil = time.Time{}
+		changed = true
+	}
 	if !f.lapsedUntil.IsZero() && !now.Before(f.lapsedUntil) {
 		f.lapsedUntil = time.Time{}
 		changed = changed || len(f.announced) > 0
--- a/internal/core/odd_entry_test.go
+++ b/internal/core/odd_entry_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,4 +88,44 @@
 		Entry("with a number too large", `{"service":"verify","address":"10.1.0.9:8080","zone":"a","version":"1","max_concurrency":1e30,"state":"ready","warmup_remaining_ms":0,"sequence":4}`),
 		Entry("with a port out of range", `{"service":"verify","address":"10.1.0.9:70000","zone":"a","version":"1","max_concurrency":3,"state":"ready","warmup_remaining_ms":0,"sequence":4}`),
 	)
+
+	// Guards against resets of the flows of a backend server over whose registration another
+	// writer writes (review/11, review/12).
+	DescribeTable("keeps the backend server in force under whose ID it stands, until that writes again", func(value string) {
+		b := start()
+		Eventually(version(b)).WithTimeout(5 * time.Second).Should(Equal(currantturn.Version(1)))
+		store.Write("servers/h-0", []byte(value))
+		configure(2)
+		Eventually(version(b)).WithTimeout(5 * time.Second).Should(Equal(currantturn.Version(2)))
+		own := b.Published().Servers[0]
+		Expect(string(own.ID)).To(Equal("h-0"))
+		Expect(own.Placeable() && own.Disputed()).To(BeTrue())
+		Expect(own.Service).To(Equal(currantturn.ServiceName("verify")))
+		Expect(own.Address.String()).To(Equal(host(0).Address))
+		store.Register("h-0", host(0))
+		configure(3)
+		Eventually(version(b)).WithTimeout(5 * time.Second).Should(Equal(currantturn.Version(3)))
+		own = b.Published().Servers[0]
+		Expect(own.Placeable() && !own.Disputed()).To(BeTrue())
+	},
+		Entry("bytes that can't be read", "\x00\xff"),
+		Entry("fields missing", `{"service":"verify"}`),
+		Entry("a service that isn't named", foreign("service", `"inventory"`)),
+		Entry("another address", foreign("address", `"127.0.3.9:9"`)),
+		Entry("a start that is far ahead", foreign("born", "4102444800000")),
+	)
 })
+
+// foreign returns a registration at the address of the first host, with one field of another value.
+func foreign(field, value string) string {
+	fields := map[string]string{
+		"service": `"verify"`, "address": `"127.0.3.1:8080"`, "zone": `"a"`, "version": `"1"`, "max_concurrency": "3",
+		"state": `"ready"`, "warmup_remaining_ms": "0", "sequence": "4", "born": "1767225600123",
+	}
+	fields[field] = value
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		all = append(all, `"`+name+`":`+fields[name])
+	}
+	return "{" + strings.Join(all, ",") + "}"
+}
--- a/internal/event/statesync.go
+++ b/internal/event/statesync.go
@@ -19,6 +19,7 @@
 	ChangeReceived         = 814
 	StoreAnswerTooLarge    = 815
 	StateDiffers           = 816
+	RegistrationUnusable   = 817
 )
 
 var stateSyncDefinitions = []Definition{
@@ -27,7 +28,7 @@
 	{RoutingInForce, "routing_in_force", Info, "published configuration is in force", fields("version routes")},
 	{RegistrationSeen, "registration_seen", Info, "backend server registered or changed its registration", fields("backend state era revision")},
 	{RegistrationGone, "registration_gone", Info, "registration of a backend server was removed; if not trusted, it may have lapsed during a store outage and come back", fields("backend era revision trusted")},
-	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration counts as removed, an order to drain a failure domain holds by its key alone", fields("key error")},
+	{RegistrationUnreadable, "registration_unreadable", Warning, "store entry cannot be decoded; a configuration is ignored, a registration stays in force for a while, an order to drain a failure domain holds by its key alone", fields("key error")},
 	{StatePulled, "state_pulled", Info, "newer published state was fetched from another balancer", fields("peer era revision version")},
 	{StoreWatched, "store_watched", Info, "balancer watches the store: too few live balancers rank ahead of it by link capacity", fields("peers age")},
 	{StoreLeftToOthers, "store_left_to_others", Info, "balancer does not watch the store: other live balancers do, and it receives the state from them", fields("peers age")},
@@ -38,4 +39,5 @@
 	{ChangeReceived, "change_received", Info, "another balancer's heartbeat brought the published state to a newer revision", fields("peer since era revision servers orders")},
 	{StoreAnswerTooLarge, "store_answer_too_large", Warning, "store's answer is above the limit and was not used; everything is read in its place, page by page", fields("error era revision")},
 	{StateDiffers, "state_differs", Warning, "another balancer has another state at the same position: one of them has missed a change; both read everything, and reset no flow meanwhile because nobody holds it", fields("peer era revision own theirs")},
+	{RegistrationUnusable, "registration_unusable", Warning, "something that is no registration was published under the ID of a backend server, which stays in force for a while if it is known", fields("backend era revision")},
 }
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -19,6 +19,12 @@
 	// LapsesIn is how long after the entry was read from a roster it counts as gone, unless
 	// its registration returns; 0 if the store has it.
 	LapsesIn time.Duration `cbor:"13,keyasint,omitempty"`
+	// Unusable is true if something that can't be used is or was last published under the
+	// ID. That a registration is gone then proves nothing of the backend server.
+	Unusable bool `cbor:"14,keyasint,omitempty"`
+	// Rival is a registration under the ID that may be by another writer, and that takes the
+	// place of this one when it lapses; nil if there is none.
+	Rival *currantturn.Registration `cbor:"15,keyasint,omitempty"`
 }
 
 // Placeable reports whether new flows may be placed on the backend server.
@@ -53,8 +59,13 @@
 	r.account(reg.ID)
 }
 
-// Adopt stores an entry from another roster.
+// Adopt stores an entry from another roster, unless it contradicts an own one, of which the
+// other roster may not know.
 func (r *Roster) Adopt(now time.Time, e Entry) {
+	if own := r.entries[e.ID]; own != nil && own.Gone.IsZero() && e.Gone.IsZero() && !e.Disputed() && !own.sameHost(&e.Registration) {
+		r.Offer(now, e.Registration, time.Time{})
+		return
+	}
 	delete(r.pendingUntil, e.ID)
 	if e.LapsesIn > 0 {
 		r.pendingUntil[e.ID] = now.Add(e.LapsesIn)
@@ -74,6 +85,13 @@
 	if e == nil || !e.Gone.IsZero() {
 		return
 	}
+	if e.Disputed() {
+		// What was removed may not have been written by the backend server.
+		undisputed := *e
+		undisputed.Unusable, undisputed.Rival = false, nil
+		r.dispute(now, &undisputed, trustedFrom)
+		return
+	}
 	if now.Before(trustedFrom) && e.State != currantturn.BackendDraining {
 		r.pendingUntil[id] = trustedFrom
 		r.account(id)
@@ -92,12 +110,16 @@
 }
 
 // Replace stores a complete listing and removes the registrations that are not
-// in it.
-func (r *Roster) Replace(now time.Time, all []currantturn.Registration, trustedFrom time.Time) {
+// in it; unusable are the IDs under which something that can't be used is listed.
+func (r *Roster) Replace(now time.Time, all []currantturn.Registration, unusable []currantturn.BackendID, trustedFrom time.Time) {
 	listed := make(map[currantturn.BackendID]bool, len(all))
 	for _, reg := range all {
 		listed[reg.ID] = true
-		r.Put(reg)
+		r.Offer(now, reg, trustedFrom)
+	}
+	for _, id := range unusable {
+		listed[id] = true
+		r.Suspect(now, id, trustedFrom)
 	}
 	for id := range r.entries {
 		if !listed[id] {
@@ -109,18 +131,24 @@
 // Reconcile applies entries that may be older than the own ones, such as a listing of a
 // store that returned from a copy. An own entry stays unless the other one is later or
 // was created after a revision that the store has given out since. An own entry without
-// another one is handled as by Remove.
-func (r *Roster) Reconcile(now time.Time, all []Entry, since uint64, trustedFrom time.Time) {
+// another one is handled as by Remove; unusable are the IDs under which something that can't
+// be used is listed.
+func (r *Roster) Reconcile(
+	now time.Time, all []Entry, unusable []currantturn.BackendID, since uint64, trustedFrom time.Time,
+) {
 	r.learn(now, all, time.Time{})
 	for i := range all {
-		if all[i].Gone.IsZero() && all[i].CreatedRevision > since && !r.entries[all[i].ID].Gone.IsZero() {
-			r.Adopt(now, all[i])
+		if own := r.entries[all[i].ID]; all[i].Gone.IsZero() && all[i].CreatedRevision > since && !own.Gone.IsZero() {
+			r.replaceBy(now, own, &all[i])
 		}
 	}
 	listed := make(map[currantturn.BackendID]bool, len(all))
 	for i := range all {
 		id := all[i].ID
 		listed[id] = true
+		if r.settle(&all[i]) {
+			continue
+		}
 		if all[i].LapsesIn == 0 {
 			delete(r.pendingUntil, id)
 		} else if r.entries[id].Gone.IsZero() {
@@ -128,6 +156,10 @@
 		}
 		r.account(id)
 	}
+	for _, id := range unusable {
+		listed[id] = true
+		r.Suspect(now, id, trustedFrom)
+	}
 	for id := range r.entries {
 		if !listed[id] {
 			r.Remove(now, id, trustedFrom)
@@ -151,7 +183,7 @@
 		}
 		deadline, pending := r.pendingUntil[all[i].ID]
 		r.Adopt(now, all[i])
-		if trustedFrom.IsZero() || !all[i].Gone.IsZero() || all[i].LapsesIn > 0 {
+		if r.entries[all[i].ID].Disputed() || trustedFrom.IsZero() || !all[i].Gone.IsZero() || all[i].LapsesIn > 0 {
 			continue
 		}
 		switch {
@@ -191,7 +223,7 @@
 func (r *Roster) Expire(now, confirmedAt time.Time) (changed bool) {
 	for id, deadline := range r.pendingUntil {
 		if !now.Before(deadline) && !confirmedAt.Before(deadline.Add(-maxConfirmationAge)) {
-			r.markGone(now, r.entries[id])
+			r.endDispute(now, r.entries[id])
 			changed = true
 		}
 	}
@@ -204,6 +236,11 @@
 	return changed
 }
 
+// Contains reports whether there is an entry of a backend server.
+func (r *Roster) Contains(id currantturn.BackendID) bool {
+	return r.entries[id] != nil
+}
+
 // Get returns the entry of a backend server.
 func (r *Roster) Get(now time.Time, id currantturn.BackendID) (e Entry, ok bool) {
 	p := r.entries[id]
--- a/internal/state/routehistory/history.go
+++ b/internal/state/routehistory/history.go
@@ -58,6 +58,15 @@
 	return complete
 }
 
+// Services returns the services that any route used to lead to.
+func (h *History) Services() []currantturn.ServiceName {
+	var all []currantturn.ServiceName
+	for k := range h.removed {
+		all = append(all, k.service)
+	}
+	return all
+}
+
 // Merge adds the entries of another process's history. It returns false if the
 // history is full, so that some are missing from it.
 func (h *History) Merge(now time.Time, entries []Entry) (complete bool) {
--- a/store.go
+++ b/store.go
@@ -9,7 +9,8 @@
 type Item struct {
 	Routing      *Routing
 	Registration *Registration
-	Removed      BackendID // whose registration was deleted or is unusable
+	Removed      BackendID // whose registration was deleted
+	Unusable     BackendID // under whose ID something stands that is no registration
 	Drain        *DrainOrder
 }
 
