flowbalancer: a load report that declines nothing leaves no time behind

What callers saw: a new flow was refused although its only backend server took new flows; more of them per service, it went to another one.

Cause: updateLoad set the time until which the agent declines new flows to that of the report, also if it declines nothing. Packets are handled side by side, and one whose time was taken a few microseconds before the report found that the agent declines.

--- a/internal/coordination/flowbalancer/incarnation_test.go
+++ b/internal/coordination/flowbalancer/incarnation_test.go
@@ -35,6 +35,18 @@
 		return p
 	}
 
+	// Guards against new flows that are refused although nothing declines them: packets are
+	// handled side by side, each with the time of its arrival.
+	It("declines nothing before a load report that declines nothing", func() {
+		t := planOf(start, entry, nil).targets[0]
+		t.updateLoad(at(10), relay.Load{})
+		Expect(t.declines(at(9))).To(BeFalse())
+		t.updateLoad(at(20), relay.Load{DeclinesMS: 5})
+		Expect(t.declines(at(19)) && t.declines(at(24))).To(BeTrue())
+		t.updateLoad(at(22), relay.Load{})
+		Expect(t.declines(at(21))).To(BeFalse())
+	})
+
 	It("keeps its state while the registration is of the same start", func() {
 		e := entry
 		e.Sequence, e.CreatedRevision = 50, 60
--- a/internal/coordination/flowbalancer/target.go
+++ b/internal/coordination/flowbalancer/target.go
@@ -110,7 +110,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.load, t.reportedAt, t.sentSinceReport = load, now, 0
-	t.declinesUntil = now.Add(time.Duration(load.DeclinesMS) * time.Millisecond)
+	t.declinesUntil = time.Time{}
+	if load.DeclinesMS > 0 {
+		t.declinesUntil = now.Add(time.Duration(load.DeclinesMS) * time.Millisecond)
+	}
 	switch {
 	case load.Unresponsive:
 		t.avoidUntil = now.Add(avoidPeriod)
--- a/internal/core/flow_test.go
+++ b/internal/core/flow_test.go
@@ -56,13 +56,22 @@
 	return s.listing()
 }
 
-// freePort returns a UDP port that was free on 127.0.0.1; the tests use it on
-// several loopback addresses.
+// givenPorts are the ports that freePort has returned.
+var givenPorts = map[uint16]bool{}
+
+// freePort returns a UDP port that was free on 127.0.0.1, another one with each call; the
+// tests use it on several loopback addresses.
 func freePort() uint16 {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	Expect(err).NotTo(HaveOccurred())
-	defer c.Close()
-	return uint16(c.LocalAddr().(*net.UDPAddr).Port)
+	for {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		Expect(err).NotTo(HaveOccurred())
+		port := uint16(c.LocalAddr().(*net.UDPAddr).Port)
+		Expect(c.Close()).To(Succeed())
+		if !givenPorts[port] {
+			givenPorts[port] = true
+			return port
+		}
+	}
 }
 
 func at(ip string, port uint16) netip.AddrPort {
