statesync: a change that does not fit is left out of a heartbeat, never the heartbeat

Cause: a change is bounded by the number of its entries, not by their size; four registrations with keys of 192 bytes were enough.

Now a change above 640 bytes is sent only where the whole message fits; otherwise the receiver pulls the state, as after any larger change.

The spec of the largest heartbeat holds 640 bytes against the largest value of every other field.

--- a/internal/coordination/statesync/change.go
+++ b/internal/coordination/statesync/change.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantturn/currantturn"
+	"github.com/currantturn/currantturn/internal/protocol/message"
 	"github.com/currantturn/currantturn/internal/state/roster"
 )
 
@@ -18,6 +19,7 @@
 	until   currantturn.Position // the second position
 	servers []roster.Entry
 	orders  []currantturn.DrainOrder
+	fits    bool // into any heartbeat
 }
 
 // changeTo returns the change from the present state to the next one by the changes of a
@@ -44,9 +46,28 @@
 		// Any unchanged registration shows peers that there is nothing to pull.
 		c.servers = undisputed(next.Servers)
 	}
+	return c.measured()
+}
+
+// measured returns the change after recording whether it fits into any heartbeat. Names are as
+// long as whoever writes them likes.
+func (c *change) measured() *change {
+	encoded, err := message.Encode(Heartbeat{Since: c.since, Changed: c.servers, Orders: c.orders})
+	c.fits = err == nil && len(encoded) <= maxChangeBytes
 	return c
 }
 
+// leaveOut removes the change from a heartbeat that it does not fit into; the receiver pulls
+// the state.
+func (c *change) leaveOut(h *Heartbeat) {
+	if c == nil || c.fits {
+		return
+	}
+	if _, err := message.Encode(*h); err != nil {
+		h.Since, h.Changed, h.Orders = 0, nil, nil
+	}
+}
+
 // addServer adds the present entry of a backend server, unless it was removed before it was
 // known, or is disputed as it was in the present state.
 func (c *change) addServer(now time.Time, f *Feed, id currantturn.BackendID) {
@@ -70,7 +91,8 @@
 		h.Version != f.state.RoutingVersion() || len(h.Changed)+len(h.Orders) == 0 {
 		return nil
 	}
-	return &change{since: h.Since, until: h.Position, servers: h.Changed, orders: h.Orders}
+	c := &change{since: h.Since, until: h.Position, servers: h.Changed, orders: h.Orders}
+	return c.measured()
 }
 
 // apply puts the state in force that a change leads to.
--- a/internal/coordination/statesync/constants.go
+++ b/internal/coordination/statesync/constants.go
@@ -63,6 +63,9 @@
 	// maxHeartbeatChanges bounds the registrations and orders in one heartbeat, which has
 	// to fit into a datagram.
 	maxHeartbeatChanges = 4
+	// maxChangeBytes is the size of a change, with the frame of a heartbeat, that fits beside
+	// the largest values of everything else.
+	maxChangeBytes = 640
 	// maxHeartbeatPeers bounds the addresses of other balancers in one heartbeat.
 	maxHeartbeatPeers = 14
 	// minCheckSpread is the least time over which the complete reads after a difference of
--- a/internal/coordination/statesync/peer.go
+++ b/internal/coordination/statesync/peer.go
@@ -261,6 +261,7 @@
 	if f.peers[to].whole {
 		h.Digest = f.digest()
 	}
+	f.change.leaveOut(&h)
 	if !f.peers[to].knowsDrained {
 		return h.withoutOrders()
 	}
