--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,30 @@
 capacity:
 	go run ./internal/capacity/print docs/capacity/slopes.ini docs/CAPACITY.md
 
+# Random schedules of the flow machines, SCHEDULES of them for each of JOBS seeds from SEED on, and
+# a proof that they find the faults whose mends the patches take back.
+SCHEDULES ?= 25000
+EXPLORE = internal/coordination/flowbalancer
+.PHONY: explore explore-proof
+explore:
+	@case "$(SEED)$(JOBS)$(SCHEDULES)" in *[!0-9]*) echo "SEED, JOBS and SCHEDULES are numbers" >&2; exit 2;; esac
+	go test -c -o bin/explore ./$(EXPLORE)
+	cd $(EXPLORE) && seq $(SEED) $$(($(SEED) + $(JOBS) - 1)) | xargs -P $(JOBS) -I{} sh -c \
+		'"$(CURDIR)/bin/explore" -test.run "TestExplore$$" -rapid.nofailfile -rapid.seed={} -rapid.checks=$(SCHEDULES) && echo "seed {}: $(SCHEDULES) schedules clean"'
+
+explore-proof:
+	rm -rf bin/worktree && git worktree prune
+	git worktree add --detach bin/worktree HEAD
+	set -e; for patch in "$(CURDIR)"/$(EXPLORE)/testdata/mends/*.patch; do \
+		git -C bin/worktree apply "$$patch" || { echo "$$patch no longer applies" >&2; exit 2; }; \
+		if found=$$(cd bin/worktree && go test ./$(EXPLORE) -run 'TestExplore$$' -rapid.nofailfile -rapid.shrinktime 0s -rapid.seed=$(SEED) -rapid.checks=2000); then \
+			echo "$$(basename "$$patch" .patch): not found in 2000 schedules" >&2; exit 1; \
+		fi; \
+		echo "$$(basename "$$patch" .patch): $$(echo "$$found" | grep -o 'failed after [0-9]* tests: .*' | head -n 1)"; \
+		git -C bin/worktree checkout -q .; \
+	done
+	git worktree remove --force bin/worktree
+
 # Processes of the program under randomized faults; SEEDS of them from SEED on.
 SEEDS ?= 1
 JOBS ?= 2
--- a/internal/suite/suite.go
+++ b/internal/suite/suite.go
@@ -17,14 +17,19 @@
 // skipped if the environment variable KNOWN_RED is "skip".
 const KnownRed = "known-red"
 
+// FixSeed sets the seed of rapid unless the command line sets another one.
+func FixSeed() {
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1") // the value is a number
+	}
+}
+
 // Run runs the package's ginkgo specs, with fixed seeds unless the command line
 // sets others.
 func Run(t *testing.T, name string) {
 	t.Helper()
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
+	FixSeed()
 	suiteConfig, reporterConfig := ginkgo.GinkgoConfiguration()
 	if f := flag.Lookup("ginkgo.seed"); f == nil || f.Value.String() == f.DefValue {
 		suiteConfig.RandomSeed = fixedSeed
