flowagent: a backend server whose domain is taken back counts as cold without any balancer's word

Cause: only a balancer that had the domain drained in its plan before takes its backend servers for cold. The agent presumes it by itself after a silence of a second, which open flows prevent.

The agent knows from its notices that its domain was drained; it now presumes its backend server cold when that ends. Ruled out: the count at the agent, which holds once the limit applies.

--- a/internal/coordination/flowagent/drain.go
+++ b/internal/coordination/flowagent/drain.go
@@ -41,6 +41,7 @@
 		return
 	case false:
 		number = event.BackendRestored
+		a.warmUp.RecordReturn(now)
 	}
 	out.Event(number, event.F("backend", a.opts.Backend), event.F("domain", a.opts.FailureDomain),
 		event.F("era", m.Era), event.F("revision", m.Revision))
@@ -52,6 +53,7 @@
 	defer a.mu.Unlock()
 	if a.drain.drained && !a.drain.inForce(now) {
 		a.drain.drained = false
+		a.warmUp.RecordReturn(now)
 		out.Event(event.BackendRestored, event.F("backend", a.opts.Backend), event.F("domain", a.opts.FailureDomain),
 			event.F("era", a.drain.position.Era), event.F("revision", a.drain.position.Revision))
 	}
--- a/internal/coordination/flowbalancer/warm_up_test.go
+++ b/internal/coordination/flowbalancer/warm_up_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/currantturn/currantturn"
 	"github.com/currantturn/currantturn/internal/event"
+	"github.com/currantturn/currantturn/internal/state/drained"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -107,6 +108,48 @@
 		Expect(sim.eventCounts[event.BackendCold]).To(BeZero())
 	})
 
+	// Guards against cold backend servers without a limit after their failure domain is taken back
+	// while all balancers restart: none of those that go on knows that it was drained.
+	DescribeTable("stay within the limit when their failure domain is taken back while all balancers restart", func(seed uint64, drainedFor time.Duration) {
+		sim := startWarm(seed, 12)
+		for _, id := range sim.backendIDs()[:2] {
+			sim.backends[id].registration.FailureDomain = "a"
+		}
+		sim.publish()
+		for range 40 { // whose answers show that the backend servers are not silent
+			sim.addCaller(400 * time.Millisecond)
+		}
+		load(sim, time.Second)
+		sim.drained = []drained.Entry{{FailureDomain: "a"}}
+		sim.publish()
+		sim.run(drainedFor)
+		for _, b := range sim.balancers {
+			b.down = true
+		}
+		sim.run(500 * time.Millisecond)
+		sim.drained = nil
+		for _, b := range sim.balancers {
+			sim.restartBalancer(b)
+		}
+		back := sim.now
+		for _, id := range sim.backendIDs() {
+			sim.backends[id].openings = nil
+		}
+		load(sim, duration)
+		for _, id := range sim.backendIDs()[:2] {
+			Expect(mostOpenings(sim.backends[id], back.Add(duration))).To(BeNumerically("<=", limit), "at %s", id)
+		}
+		load(sim, 3*time.Second)
+		Expect(sim.violations).To(BeEmpty())
+		for _, id := range sim.backendIDs()[:2] {
+			Expect(mostOpenings(sim.backends[id], sim.now)).To(BeNumerically(">", limit), "warm again")
+		}
+	},
+		Entry("shortly after it was drained", uint64(211), 2*time.Second),
+		Entry("long after", uint64(212), 20*time.Second),
+		Entry("after their rate was last received a minute ago", uint64(213), 70*time.Second),
+	)
+
 	// A balancer that is cut off from the store places by the registration before the
 	// restart.
 	It("stay within the limit when one balancer does not learn of the restart", func() {
--- a/internal/coordination/warmup/limiter.go
+++ b/internal/coordination/warmup/limiter.go
@@ -27,6 +27,7 @@
 	// publishedUntil is when the backend server is warm by its registration, and
 	// presumedUntil by the signs of a restart that this process has seen.
 	publishedUntil, presumedUntil time.Time
+	returnedAt                    time.Time   // when the backend server last got new flows again after it had to get none
 	forgottenUntil                time.Time   // until when a lost flow is no sign of a restart
 	answeredAt                    time.Time   // last packet from the backend server; zero before the first one
 	refusing                      bool        // whether it bounced the last opening packet that it answered
@@ -60,6 +61,7 @@
 		l.warmUp, l.position = w.WarmUp, position
 	}
 	l.learnedAt = now
+	l.presumeReturned()
 	remaining := w.Remaining
 	if w.WarmUp.Duration > 0 {
 		remaining = min(remaining, w.WarmUp.Duration)
@@ -78,6 +80,23 @@
 	}
 }
 
+// RecordReturn records that the backend server gets new flows again after it had to get none.
+// It may have become cold meanwhile, and balancers that have just started don't know that.
+func (l *Limiter) RecordReturn(now time.Time) {
+	l.returnedAt = l.advance(now)
+	l.presumeReturned()
+}
+
+// presumeReturned takes the backend server for cold for the warm-up after its last return.
+func (l *Limiter) presumeReturned() {
+	if l.returnedAt.IsZero() {
+		return
+	}
+	if until := l.returnedAt.Add(l.warmUp.Duration); until.After(l.presumedUntil) {
+		l.presumedUntil = until
+	}
+}
+
 // RecordForgotten records that the backend server no longer holds an open flow, which is
 // a sign of a restart.
 func (l *Limiter) RecordForgotten(now time.Time) {
