--- a/internal/coordination/statesync/foreign_test.go
+++ b/internal/coordination/statesync/foreign_test.go
@@ -1,6 +1,7 @@
 package statesync_test
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -67,6 +68,32 @@
 		Entry("a start far ahead", backend("a", "verify", start.Add(48*time.Hour))),
 	)
 
+	// Starts and sequences are compared only after the store has returned from a copy.
+	DescribeTable("has a backend server's own registration in force again after the store returned from a copy", func(odd func(r *currantturn.Registration)) {
+		f := newHistoryFleet(3)
+		copied := f.store.copied()
+		foreign := registration("a", 9)
+		foreign.Slots = 7
+		odd(&foreign)
+		f.store.register(foreign)
+		f.run(time.Second)
+		f.store.restore(copied)
+		f.run(time.Second)
+		own := registration("a", 12)
+		own.Slots = 3
+		f.store.register(own)
+		f.run(70 * time.Second)
+		for _, b := range f.balancers {
+			s := b.feed.State(f.now)
+			Expect(s.Servers[0].Slots).To(Equal(3))
+			Expect(s.Servers[0].Placeable() && !s.Servers[0].Disputed()).To(BeTrue())
+		}
+	},
+		Entry("over the highest sequence", func(r *currantturn.Registration) { r.Sequence = math.MaxUint64 }),
+		Entry("over a start that is ahead", func(r *currantturn.Registration) { r.StartedAt = time.Unix(1_000_000, 0).Add(30 * time.Minute) }),
+		Entry("over another service", func(r *currantturn.Registration) { r.Service = "inventory" }),
+	)
+
 	It("has the registration of a named service in force at once over that of one that isn't", func() {
 		f := listed(false, backend("a", "inventory", start))
 		s := change(f, start.Add(time.Second), own)
