--- a/internal/coordination/flowbalancer/explore_test.go
+++ b/internal/coordination/flowbalancer/explore_test.go
@@ -32,13 +32,14 @@
 // servers see them.
 type exploration struct {
 	*simulation
-	roster    *roster.Roster
-	foreign   map[currantturn.BackendID]bool // under whose ID something else stands
-	disturbed map[netip.Addr]time.Time       // VMs with unplanned disruption, and its end
-	versions  []currantturn.ServiceName      // that each version of the route leads to
-	shown     map[netip.Addr]shownVersion    // by balancer
-	drainedAt map[currantturn.BackendID]time.Time
-	timeline  []string
+	roster      *roster.Roster
+	foreign     map[currantturn.BackendID]bool // under whose ID something else stands
+	disturbed   map[netip.Addr]time.Time       // VMs with unplanned disruption, and its end
+	faultyUntil map[netip.Addr]time.Time       // VMs with faulty links
+	versions    []currantturn.ServiceName      // that each version of the route leads to
+	shown       map[netip.Addr]shownVersion    // by balancer
+	drainedAt   map[currantturn.BackendID]time.Time
+	timeline    []string
 }
 
 // shownVersion is the newest version of which a balancer has shown the effect.
@@ -50,7 +51,7 @@
 func newExploration(seed uint64) *exploration {
 	x := &exploration{
 		simulation: newSimulation(seed), roster: roster.New(), foreign: map[currantturn.BackendID]bool{},
-		disturbed: map[netip.Addr]time.Time{}, shown: map[netip.Addr]shownVersion{}, drainedAt: map[currantturn.BackendID]time.Time{},
+		disturbed: map[netip.Addr]time.Time{}, faultyUntil: map[netip.Addr]time.Time{}, shown: map[netip.Addr]shownVersion{}, drainedAt: map[currantturn.BackendID]time.Time{},
 		versions: []currantturn.ServiceName{"verify"},
 	}
 	for n := range 5 {
@@ -66,6 +67,7 @@
 		return x.roster.Entries(x.now)
 	}
 	x.recorded = time.Minute
+	x.faulty = func(vm netip.Addr) bool { return x.now.Before(x.faultyUntil[vm]) }
 	x.onOpening, x.excuses = x.checkOpening, x.excusesFlow
 	x.scheduleEvery(100*time.Millisecond, func() {
 		if x.roster.Expire(x.now, x.now) {
@@ -161,6 +163,14 @@
 	})
 }
 
+// spoil lets the links of a VM lose, double and delay packets.
+func (x *exploration) spoil(vm netip.Addr, d time.Duration) {
+	x.disturb(vm, d+maxLateness) // when the last one may arrive
+	if until := x.now.Add(d); until.After(x.faultyUntil[vm]) {
+		x.faultyUntil[vm] = until
+	}
+}
+
 // stopAgent stops an agent, which the platform starts again.
 func (x *exploration) stopAgent(b *backendVM) {
 	if b.agentDown || x.isFrozen(b.address.Addr()) {
@@ -263,7 +273,7 @@
 	"planned restart of an agent", "planned restart of a balancer", "planned move of the route", "planned drain",
 	"planned overwrite unreadable", "planned overwrite service", "planned overwrite address", "planned overwrite start",
 	"planned rolling restart of the agents", "planned rolling restart of the balancers", "kill the agents of a service",
-	"freeze a balancer", "freeze an agent", "kill an agent", "kill a balancer", "crash of a backend server", "burst of callers",
+	"faulty links of a balancer", "faulty links of an agent", "freeze a balancer", "freeze an agent", "kill an agent", "kill a balancer", "crash of a backend server", "burst of callers",
 }
 
 // play carries out an event at the n-th VM of its kind.
@@ -295,6 +305,10 @@
 		x.moveRoute()
 	case "planned drain":
 		x.drainOut(host)
+	case "faulty links of a balancer":
+		x.spoil(balancer.address.Addr(), d)
+	case "faulty links of an agent":
+		x.spoil(host.address.Addr(), d)
 	case "freeze a balancer":
 		x.freeze(balancer.address.Addr(), d)
 	case "freeze an agent":
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -34,6 +34,8 @@
 	firstRetransmit = 200 * time.Millisecond
 	// openTimeout is when a caller gives up opening a flow.
 	openTimeout = 1400 * time.Millisecond
+	// maxLateness is by how much a faulty link delays a packet at most.
+	maxLateness = 2 * time.Second
 	// rotationDelay is how long a VM stands still until it gets no more packets of callers.
 	rotationDelay = time.Second
 	// maxAnswerDelay is the longest delay after which a backend server repeats its answer to an
@@ -91,6 +93,7 @@
 	storeDown  bool                                                    // nothing is published, so that balancers only learn of announced agents
 	announced  []statesync.Announced                                   // agents that announced themselves to any balancer
 	drop       func(from, to netip.Addr) bool                          // whether a packet between VMs is dropped; nil drops none
+	faulty     func(vm netip.Addr) bool                                // whether a VM's links lose, double and delay packets; nil for none
 	published  func() []roster.Entry                                   // takes the place of the registrations of all backend servers; nil for these
 	frozen     map[netip.Addr][]func()                                 // what the VMs that stand still will process when they go on
 	onOpening  func(b *backendVM, p *currantturn.Packet)               // called when an opening packet opens a flow; nil for none
@@ -388,7 +391,28 @@
 	if sim.drop != nil && sim.drop(from, to.Addr()) {
 		return
 	}
-	sim.schedule(hopDelay+sim.linkDelay(from, len(frame)), func() { sim.receive(netip.AddrPortFrom(from, linkPort), to, frame) })
+	delay := hopDelay + sim.linkDelay(from, len(frame))
+	for _, late := range sim.copies(from, to.Addr()) {
+		sim.schedule(delay+late, func() { sim.receive(netip.AddrPortFrom(from, linkPort), to, frame) })
+	}
+}
+
+// copies returns by how much each copy of a packet between two VMs is late: one that is not, unless
+// a link is faulty.
+func (sim *simulation) copies(from, to netip.Addr) []time.Duration {
+	if sim.faulty == nil || !sim.faulty(from) && !sim.faulty(to) {
+		return []time.Duration{0}
+	}
+	late := time.Duration(sim.rng.Int64N(int64(maxLateness)))
+	switch sim.rng.IntN(8) {
+	case 0:
+		return nil
+	case 1:
+		return []time.Duration{late}
+	case 2:
+		return []time.Duration{0, late}
+	}
+	return []time.Duration{0}
 }
 
 // linkDelay returns how long a frame waits for the link of its balancer.
@@ -502,12 +526,16 @@
 				b.balancer.Route(now, netip.AddrPort{}, &e, out)
 			})
 		}
-		if !sim.keep(b.address.Addr(), func() {
-			if !b.down {
-				route()
-			}
-		}) {
-			route()
+		for _, late := range sim.copies(b.address.Addr(), b.address.Addr()) {
+			sim.schedule(late, func() {
+				if !b.down && !sim.keep(b.address.Addr(), func() {
+					if !b.down {
+						route()
+					}
+				}) {
+					route()
+				}
+			})
 		}
 	})
 }
