--- a/internal/coordination/flowbalancer/foreign_test.go
+++ b/internal/coordination/flowbalancer/foreign_test.go
@@ -34,12 +34,12 @@
 	})
 
 	// Guards against resets of open flows (review/11): a balancer that has just started reads
-	// the other writer's entry first, and the backend server's own one as its rival.
+	// the other writer's entry first, and the backend server's own one as a conflicting one.
 	It("does not hide the backend server that has registered under the same ID", func() {
 		sim := startFleet(43, 2, 3, 30)
 		b := sim.backends["verify-01"]
 		own := b.registration
-		b.rival = &own
+		b.replacement = &own
 		b.registration.Service, b.registration.Address = "elsewhere", netip.MustParseAddrPort("10.9.9.9:9")
 		sim.publish()
 		sim.restartBalancer(sim.balancers[0])
--- a/internal/coordination/flowbalancer/plan.go
+++ b/internal/coordination/flowbalancer/plan.go
@@ -84,7 +84,7 @@
 		p.routed[source.Earlier[i].Service] = true
 	}
 	warmUps := indexWarmUps(source.Routing)
-	servers := withClaimants(now, source.Servers)
+	servers := withReplacements(now, source.Servers)
 	for i := range servers {
 		e := &servers[i]
 		agent := netip.AddrPortFrom(e.Address.Addr(), agentPort)
@@ -126,12 +126,12 @@
 	return p
 }
 
-// withClaimants returns the entries of a state with those that their rivals make up, whose
+// withReplacements returns the entries of a state with those that their replacements make up, whose
 // agents may hold flows.
-func withClaimants(now time.Time, servers []roster.Entry) []roster.Entry {
+func withReplacements(now time.Time, servers []roster.Entry) []roster.Entry {
 	all := servers
 	for i := range servers {
-		if c, ok := servers[i].Claimant(now); ok {
+		if c, ok := servers[i].ReplacementEntry(now); ok {
 			all = append(slices.Clip(all), c)
 		}
 	}
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -126,7 +126,7 @@
 	registration currantturn.Registration
 	removedAt    time.Time // when the registration was removed; zero while it exists
 	unusable     bool      // something that can't be used was published under its ID last
-	rival        *currantturn.Registration
+	replacement  *currantturn.Registration
 	address      netip.AddrPort
 	agent        *flowagent.Agent
 	agentDown    bool
@@ -341,7 +341,7 @@
 			continue
 		}
 		s.Servers = append(s.Servers, roster.Entry{
-			Registration: backend.registration, Gone: backend.removedAt, Unusable: backend.unusable, Rival: backend.rival, WasDraining: !backend.removedAt.IsZero() && backend.registration.State == currantturn.BackendDraining,
+			Registration: backend.registration, Gone: backend.removedAt, Unusable: backend.unusable, Replacement: backend.replacement, WasDraining: !backend.removedAt.IsZero() && backend.registration.State == currantturn.BackendDraining,
 		})
 	}
 	sim.apply(b.address.Addr(), nil, func(now time.Time, out *currantturn.Effects) { b.balancer.Publish(now, s, out) })
--- a/internal/coordination/statesync/change.go
+++ b/internal/coordination/statesync/change.go
@@ -38,13 +38,13 @@
 		default:
 			c.addServer(now, f, cmp.Or(item.Removed, item.Unusable))
 		}
-		if len(c.servers)+len(c.orders) > maxHeartbeatChanges || slices.ContainsFunc(c.servers, isDisputed) {
+		if len(c.servers)+len(c.orders) > maxHeartbeatChanges || slices.ContainsFunc(c.servers, isConflicting) {
 			return nil
 		}
 	}
 	if len(c.servers) == 0 {
 		// Any unchanged registration shows peers that there is nothing to pull.
-		c.servers = undisputed(next.Servers)
+		c.servers = unconflicted(next.Servers)
 	}
 	return c.measured()
 }
@@ -69,9 +69,9 @@
 }
 
 // addServer adds the present entry of a backend server, unless it was removed before it was
-// known, or is disputed as it was in the present state.
+// known, or is conflicting as it was in the present state.
 func (c *change) addServer(now time.Time, f *Feed, id currantturn.BackendID) {
-	if e, ok := f.servers.Get(now, id); ok && !sameDispute(f.state.Servers, e) {
+	if e, ok := f.servers.Get(now, id); ok && !sameConflict(f.state.Servers, e) {
 		c.servers = append(c.servers, e)
 	}
 }
--- a/internal/coordination/statesync/foreign.go
+++ b/internal/coordination/statesync/foreign.go
@@ -83,26 +83,26 @@
 	return false
 }
 
-// undisputed returns an entry that every build reads, nil if there is none.
-func undisputed(servers []roster.Entry) []roster.Entry {
+// unconflicted returns an entry that every build reads, nil if there is none.
+func unconflicted(servers []roster.Entry) []roster.Entry {
 	for i := range servers {
-		if !isDisputed(servers[i]) {
+		if !isConflicting(servers[i]) {
 			return servers[i : i+1]
 		}
 	}
 	return nil
 }
 
-// sameDispute reports whether an entry is disputed and the one in a state is as well, by the
+// sameConflict reports whether an entry is conflicting and the one in a state is as well, by the
 // same. Another writer may write often.
-func sameDispute(servers []roster.Entry, e roster.Entry) bool {
+func sameConflict(servers []roster.Entry, e roster.Entry) bool {
 	i, found := slices.BinarySearchFunc(servers, e.ID, func(s roster.Entry, id currantturn.BackendID) int { return cmp.Compare(s.ID, id) })
-	if !found || !e.Disputed() || e.Unusable != servers[i].Unusable {
+	if !found || !e.Conflicting() || e.Unusable != servers[i].Unusable {
 		return false
 	}
-	before, now := servers[i].Rival, e.Rival
+	before, now := servers[i].Replacement, e.Replacement
 	return before == now || before != nil && now != nil && before.Service == now.Service && before.Address == now.Address
 }
 
-// isDisputed reports whether an entry has fields that earlier builds refuse in a heartbeat.
-func isDisputed(e roster.Entry) bool { return e.Disputed() }
+// isConflicting reports whether an entry has fields that earlier builds refuse in a heartbeat.
+func isConflicting(e roster.Entry) bool { return e.Conflicting() }
--- a/internal/coordination/statesync/foreign_test.go
+++ b/internal/coordination/statesync/foreign_test.go
@@ -61,7 +61,7 @@
 		Expect(s.ResetsHeld).To(BeFalse())
 		s = change(f, start.Add(2*time.Second), own)
 		Expect(s.Servers).To(HaveLen(1))
-		Expect(s.Servers[0].Disputed()).To(BeFalse())
+		Expect(s.Servers[0].Conflicting()).To(BeFalse())
 	},
 		Entry("what can't be used", currantturn.Item{Unusable: "a"}),
 		Entry("a service that isn't named", backend("a", "inventory", start)),
@@ -86,7 +86,7 @@
 		for _, b := range f.balancers {
 			s := b.feed.State(f.now)
 			Expect(s.Servers[0].Slots).To(Equal(3))
-			Expect(s.Servers[0].Placeable() && !s.Servers[0].Disputed()).To(BeTrue())
+			Expect(s.Servers[0].Placeable() && !s.Servers[0].Conflicting()).To(BeTrue())
 		}
 	},
 		Entry("over the highest sequence", func(r *currantturn.Registration) { r.Sequence = math.MaxUint64 }),
@@ -98,7 +98,7 @@
 		f := listed(false, backend("a", "inventory", start))
 		s := change(f, start.Add(time.Second), own)
 		Expect(s.Servers[0].Registration).To(Equal(*own.Registration))
-		Expect(s.Servers[0].Placeable() && !s.Servers[0].Disputed()).To(BeTrue())
+		Expect(s.Servers[0].Placeable() && !s.Servers[0].Conflicting()).To(BeTrue())
 	})
 
 	// Backend servers may register before the operator names their service.
@@ -108,6 +108,6 @@
 		next.Routes[0].Shares = []currantturn.Share{{Service: "reports", Weight: 1}}
 		s := change(f, start.Add(time.Second), currantturn.Item{Routing: next})
 		Expect(s.Servers).To(HaveLen(2))
-		Expect(s.Servers[1].Placeable() && !s.Servers[1].Disputed()).To(BeTrue())
+		Expect(s.Servers[1].Placeable() && !s.Servers[1].Conflicting()).To(BeTrue())
 	})
 })
--- a/internal/core/odd_entry_test.go
+++ b/internal/core/odd_entry_test.go
@@ -99,14 +99,14 @@
 		Eventually(version(b)).WithTimeout(5 * time.Second).Should(Equal(currantturn.Version(2)))
 		own := b.Published().Servers[0]
 		Expect(string(own.ID)).To(Equal("h-0"))
-		Expect(own.Placeable() && own.Disputed()).To(BeTrue())
+		Expect(own.Placeable() && own.Conflicting()).To(BeTrue())
 		Expect(own.Service).To(Equal(currantturn.ServiceName("verify")))
 		Expect(own.Address.String()).To(Equal(host(0).Address))
 		store.Register("h-0", host(0))
 		configure(3)
 		Eventually(version(b)).WithTimeout(5 * time.Second).Should(Equal(currantturn.Version(3)))
 		own = b.Published().Servers[0]
-		Expect(own.Placeable() && !own.Disputed()).To(BeTrue())
+		Expect(own.Placeable() && !own.Conflicting()).To(BeTrue())
 	},
 		Entry("bytes that can't be read", "\x00\xff"),
 		Entry("fields missing", `{"service":"verify"}`),
--- a/internal/state/roster/dispute.go
+++ b/internal/state/roster/conflict.go
@@ -6,15 +6,15 @@
 	"github.com/currantturn/currantturn"
 )
 
-// disputeGrace is how long a registration stays in force after something else was written under
+// conflictGrace is how long a registration stays in force after something else was written under
 // its ID. A backend server that runs writes its registration again before, and some time is left
 // until requests may no longer reach one that has begun to drain.
-const disputeGrace = 2500 * time.Millisecond
+const conflictGrace = 2500 * time.Millisecond
 
-// Disputed reports whether something was written under the ID that may not come from the backend
+// Conflicting reports whether something was written under the ID that may not come from the backend
 // server itself, and that it has not overwritten since.
-func (e *Entry) Disputed() bool {
-	return e.Unusable || e.Rival != nil
+func (e *Entry) Conflicting() bool {
+	return e.Unusable || e.Replacement != nil
 }
 
 // sameHost reports whether a registration may be by the backend server of the entry, also after
@@ -24,7 +24,7 @@
 }
 
 // Offer stores a registration that is published at present. While another one is in force under
-// its ID, of another service or address, that one stays in force for disputeGrace, unless the
+// its ID, of another service or address, that one stays in force for conflictGrace, unless the
 // backend server had this one before.
 func (r *Roster) Offer(now time.Time, reg currantturn.Registration, trustedFrom time.Time) {
 	e := r.entries[reg.ID]
@@ -34,58 +34,58 @@
 	case !e.Gone.IsZero() || r.entries[earlierID(&reg)] != nil:
 		r.replaceBy(now, e, &Entry{Registration: reg})
 	default:
-		disputed := *e
-		disputed.Unusable, disputed.Rival = false, &reg
-		r.dispute(now, &disputed, trustedFrom)
+		conflicting := *e
+		conflicting.Unusable, conflicting.Replacement = false, &reg
+		r.keepInForce(now, &conflicting, trustedFrom)
 	}
 }
 
 // Suspect handles something under a backend server's ID that can't be used. It proves nothing of
-// the backend server, whose entry stays in force for disputeGrace.
+// the backend server, whose entry stays in force for conflictGrace.
 func (r *Roster) Suspect(now time.Time, id currantturn.BackendID, trustedFrom time.Time) {
 	e := r.entries[id]
 	if e == nil || !e.Gone.IsZero() {
 		return
 	}
-	disputed := *e
-	disputed.Unusable, disputed.Rival = true, nil
-	r.dispute(now, &disputed, trustedFrom)
+	conflicting := *e
+	conflicting.Unusable, conflicting.Replacement = true, nil
+	r.keepInForce(now, &conflicting, trustedFrom)
 }
 
-// dispute stores an entry that is in force until it has not been written again in time. That
-// time does not start anew while the entry stays disputed.
-func (r *Roster) dispute(now time.Time, e *Entry, trustedFrom time.Time) {
-	until := now.Add(disputeGrace)
+// keepInForce stores an entry that is in force until it has not been written again in time. That
+// time does not start anew while the entry stays conflicting.
+func (r *Roster) keepInForce(now time.Time, e *Entry, trustedFrom time.Time) {
+	until := now.Add(conflictGrace)
 	if trustedFrom.After(until) {
 		until = trustedFrom
 	}
-	if _, pending := r.pendingUntil[e.ID]; !pending || !r.entries[e.ID].Disputed() {
+	if _, pending := r.pendingUntil[e.ID]; !pending || !r.entries[e.ID].Conflicting() {
 		r.pendingUntil[e.ID] = until
 	}
 	r.entries[e.ID] = e
 	r.account(e.ID)
 }
 
-// settle handles an entry that is listed while the own one is disputed, and reports whether it
-// is. The dispute ends if the listed one shows that the backend server has written again.
-func (r *Roster) settle(listed *Entry) (disputed bool) {
+// resolve handles an entry that is listed while the own one is conflicting, and reports whether it
+// is. The conflict ends if the listed one shows that the backend server has written again.
+func (r *Roster) resolve(listed *Entry) (conflicting bool) {
 	own := r.entries[listed.ID]
-	if !own.Disputed() || !own.Gone.IsZero() {
+	if !own.Conflicting() || !own.Gone.IsZero() {
 		return false
 	}
-	if listed.Gone.IsZero() && !listed.Disputed() && own.sameHost(&listed.Registration) {
+	if listed.Gone.IsZero() && !listed.Conflicting() && own.sameHost(&listed.Registration) {
 		r.Put(own.Registration)
 	}
 	return true
 }
 
-// endDispute ends a dispute in which the backend server has not written its registration again.
-func (r *Roster) endDispute(now time.Time, e *Entry) {
-	if e.Rival == nil {
+// expireConflict ends a conflict in which the backend server has not written its registration again.
+func (r *Roster) expireConflict(now time.Time, e *Entry) {
+	if e.Replacement == nil {
 		r.markGone(now, e)
 		return
 	}
-	r.replaceBy(now, e, &Entry{Registration: *e.Rival})
+	r.replaceBy(now, e, &Entry{Registration: *e.Replacement})
 }
 
 // Supersede stores a registration at once, whatever is in force under its ID.
@@ -102,7 +102,7 @@
 // has ended is known only if it was gone, or if the new one is of a later start.
 func (r *Roster) replaceBy(now time.Time, e, by *Entry) {
 	earlier := *e
-	earlier.ID, earlier.Rival = earlierID(&e.Registration), nil
+	earlier.ID, earlier.Replacement = earlierID(&e.Registration), nil
 	if earlier.Gone.IsZero() {
 		earlier.Gone, earlier.WasDraining = now, e.State == currantturn.BackendDraining
 		earlier.Unusable = e.Service != by.Service || !by.StartedAt.After(e.StartedAt)
@@ -121,13 +121,13 @@
 	return currantturn.BackendID(string(reg.ID) + " at " + reg.Address.String())
 }
 
-// Claimant returns the rival of an entry as one of its own: its agent may hold flows, but is
+// ReplacementEntry returns the replacement of an entry as one of its own: its agent may hold flows, but is
 // not proven to belong to a backend server. It returns false if there is none.
-func (e *Entry) Claimant(now time.Time) (c Entry, ok bool) {
-	if e.Rival == nil || e.Rival.Address == e.Address {
+func (e *Entry) ReplacementEntry(now time.Time) (c Entry, ok bool) {
+	if e.Replacement == nil || e.Replacement.Address == e.Address {
 		return c, false
 	}
-	c = Entry{Registration: *e.Rival, Gone: now, Unusable: true}
-	c.ID = earlierID(e.Rival)
+	c = Entry{Registration: *e.Replacement, Gone: now, Unusable: true}
+	c.ID = earlierID(e.Replacement)
 	return c, true
 }
--- a/internal/state/roster/dispute_test.go
+++ b/internal/state/roster/conflict_test.go
@@ -39,7 +39,7 @@
 		overwrite(time.Second)
 		overwrite(2 * time.Second)
 		e := entries(2 * time.Second)[0]
-		Expect(e.Placeable() && e.Disputed()).To(BeTrue())
+		Expect(e.Placeable() && e.Conflicting()).To(BeTrue())
 		Expect(e.Address).To(Equal(own.Address))
 		Expect(e.LapsesIn).To(Equal(grace-time.Second), "the second write gives no more time")
 		write(2200 * time.Millisecond)
@@ -85,12 +85,12 @@
 
 	It("is left in force by a roster that never had it", func() {
 		other := roster.New()
-		rival := own
-		rival.Address = netip.MustParseAddrPort("10.9.9.9:9")
-		other.Put(rival)
+		replacement := own
+		replacement.Address = netip.MustParseAddrPort("10.9.9.9:9")
+		other.Put(replacement)
 		r.Update(start, other.Entries(start))
 		Expect(entries(0)[0].Address).To(Equal(own.Address))
-		Expect(entries(0)[0].Rival).To(Equal(&rival))
+		Expect(entries(0)[0].Replacement).To(Equal(&replacement))
 	})
 
 	It("is replaced by one of a later start, whose earlier address is known to have ended", func() {
@@ -104,7 +104,7 @@
 
 	It("names the address of the other one as one that may hold flows", func() {
 		foreign(0, "elsewhere", "10.9.9.9:9", start)
-		c, ok := entries(0)[0].Claimant(start)
+		c, ok := entries(0)[0].ReplacementEntry(start)
 		Expect(ok).To(BeTrue())
 		Expect(c.Address.String()).To(Equal("10.9.9.9:9"))
 		Expect(c.Placeable()).To(BeFalse())
@@ -113,8 +113,8 @@
 	It("is settled by what a store that returned from a copy lists", func() {
 		r.Suspect(start, "a", start)
 		r.Reconcile(start, []roster.Entry{{Registration: own}}, nil, 0, start)
-		Expect(entries(0)[0].Disputed()).To(BeFalse())
+		Expect(entries(0)[0].Conflicting()).To(BeFalse())
 		r.Reconcile(start, nil, []currantturn.BackendID{"a"}, 0, start)
-		Expect(entries(0)[0].Disputed()).To(BeTrue())
+		Expect(entries(0)[0].Conflicting()).To(BeTrue())
 	})
 })
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -22,9 +22,9 @@
 	// Unusable is true if something that can't be used is or was last published under the
 	// ID. That a registration is gone then proves nothing of the backend server.
 	Unusable bool `cbor:"14,keyasint,omitempty"`
-	// Rival is a registration under the ID that may be by another writer, and that takes the
+	// Replacement is a registration under the ID that may be by another writer, and that takes the
 	// place of this one when it lapses; nil if there is none.
-	Rival *currantturn.Registration `cbor:"15,keyasint,omitempty"`
+	Replacement *currantturn.Registration `cbor:"15,keyasint,omitempty"`
 }
 
 // Placeable reports whether new flows may be placed on the backend server.
@@ -62,7 +62,7 @@
 // Adopt stores an entry from another roster, unless it contradicts an own one, of which the
 // other roster may not know.
 func (r *Roster) Adopt(now time.Time, e Entry) {
-	if own := r.entries[e.ID]; own != nil && own.Gone.IsZero() && e.Gone.IsZero() && !e.Disputed() && !own.sameHost(&e.Registration) {
+	if own := r.entries[e.ID]; own != nil && own.Gone.IsZero() && e.Gone.IsZero() && !e.Conflicting() && !own.sameHost(&e.Registration) {
 		r.Offer(now, e.Registration, time.Time{})
 		return
 	}
@@ -85,11 +85,11 @@
 	if e == nil || !e.Gone.IsZero() {
 		return
 	}
-	if e.Disputed() {
+	if e.Conflicting() {
 		// What was removed may not have been written by the backend server.
-		undisputed := *e
-		undisputed.Unusable, undisputed.Rival = false, nil
-		r.dispute(now, &undisputed, trustedFrom)
+		unconflicted := *e
+		unconflicted.Unusable, unconflicted.Replacement = false, nil
+		r.keepInForce(now, &unconflicted, trustedFrom)
 		return
 	}
 	if now.Before(trustedFrom) && e.State != currantturn.BackendDraining {
@@ -146,7 +146,7 @@
 	for i := range all {
 		id := all[i].ID
 		listed[id] = true
-		if r.settle(&all[i]) {
+		if r.resolve(&all[i]) {
 			continue
 		}
 		if all[i].LapsesIn == 0 {
@@ -183,7 +183,7 @@
 		}
 		deadline, pending := r.pendingUntil[all[i].ID]
 		r.Adopt(now, all[i])
-		if r.entries[all[i].ID].Disputed() || trustedFrom.IsZero() || !all[i].Gone.IsZero() || all[i].LapsesIn > 0 {
+		if r.entries[all[i].ID].Conflicting() || trustedFrom.IsZero() || !all[i].Gone.IsZero() || all[i].LapsesIn > 0 {
 			continue
 		}
 		switch {
@@ -223,7 +223,7 @@
 func (r *Roster) Expire(now, confirmedAt time.Time) (changed bool) {
 	for id, deadline := range r.pendingUntil {
 		if !now.Before(deadline) && !confirmedAt.Before(deadline.Add(-maxConfirmationAge)) {
-			r.endDispute(now, r.entries[id])
+			r.expireConflict(now, r.entries[id])
 			changed = true
 		}
 	}
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -213,7 +213,7 @@
 		}
 		other := roster.New()
 		for _, e := range r.Entries(now) {
-			Expect(e.Gone.IsZero() && e.Disputed() && e.LapsesIn == 0).To(BeFalse(), "a dispute without an end")
+			Expect(e.Gone.IsZero() && e.Conflicting() && e.LapsesIn == 0).To(BeFalse(), "a conflict without an end")
 			if e.Gone.IsZero() && e.LapsesIn == 0 {
 				other.Put(e.Registration)
 			}
