--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -7,11 +7,9 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/currantturn/currantturn"
-	"github.com/currantturn/currantturn/internal/coordination/flowagent"
 	"github.com/currantturn/currantturn/internal/coordination/flowbalancer"
 	"github.com/currantturn/currantturn/internal/coordination/statesync"
 	"github.com/currantturn/currantturn/internal/event"
@@ -20,7 +18,6 @@
 	"github.com/currantturn/currantturn/internal/state/roster"
 	"github.com/currantturn/currantturn/internal/state/routehistory"
 	"github.com/currantturn/currantturn/platform"
-	"github.com/currantturn/currantturn/platform/platformtest"
 )
 
 // Ports and times of the simulation; all delays are simulated time.
@@ -120,35 +117,6 @@
 	balancer   *flowbalancer.Balancer
 }
 
-// backendVM is a VM with a backend server and its agent.
-type backendVM struct {
-	unlisted     bool // missing in the published state
-	registration currantturn.Registration
-	removedAt    time.Time // when the registration was removed; zero while it exists
-	unusable     bool      // something that can't be used was published under its ID last
-	replacement  *currantturn.Registration
-	address      netip.AddrPort
-	agent        *flowagent.Agent
-	agentDown    bool
-	unresponsive bool          // the backend server processes nothing and sends nothing
-	openDelay    time.Duration // from an opening packet until the backend server processes it
-	full         bool          // the backend server accepts no flow: it bounces opening packets
-	flows        map[netip.AddrPort]*connection
-	serviceTime  time.Duration
-	queue        []func()
-	busySlots    int
-	requestsRun  int         // requests completed
-	crashes      int         // how often it has lost its memory
-	openings     []time.Time // when opening packets arrived
-}
-
-// connection is the state of a flow at its backend server, as sequence numbers.
-type connection struct {
-	initialSequence, sent uint32 // sent is the size of the data sent
-	nextSequence          uint32 // of the caller
-	acknowledged          bool   // whether the caller has acknowledged the answer to its opening packet
-}
-
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
 		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
@@ -229,35 +197,6 @@
 	sim.publishTo(b)
 }
 
-// addBackend adds a backend server of the service verify without publishing its
-// registration.
-func (sim *simulation) addBackend(slots int) *backendVM {
-	return sim.addBackendOf("verify", slots)
-}
-
-// addBackendOf adds a backend server of a service without publishing its registration.
-func (sim *simulation) addBackendOf(service currantturn.ServiceName, slots int) *backendVM {
-	n := len(sim.backends)
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(n + 1)}), linkPort)
-	b := &backendVM{
-		address: address, flows: map[netip.AddrPort]*connection{}, serviceTime: 20 * time.Millisecond,
-		registration: currantturn.Registration{
-			ID: currantturn.BackendID(fmt.Sprintf("verify-%02d", n)), Service: service,
-			Address: netip.AddrPortFrom(address.Addr(), 8080), Slots: slots, State: currantturn.BackendActive,
-		},
-	}
-	sim.backends[b.registration.ID] = b
-	sim.restartAgent(b, true)
-	return b
-}
-
-func (sim *simulation) restartAgent(b *backendVM, fresh bool) {
-	b.agent = flowagent.New(flowagent.Options{
-		Codec: sim.codec, Service: b.registration.Service, Backend: b.registration.ID, LinkPort: linkPort, Started: sim.now, Fresh: fresh, Seeds: sim.seeds(),
-		WarmUpOvershoot: 1.5, WarmUpTolerance: 5,
-	})
-}
-
 // seeds returns the addresses of all balancers.
 func (sim *simulation) seeds() (all []netip.AddrPort) {
 	for _, b := range sim.balancers {
@@ -294,25 +233,6 @@
 	}
 }
 
-// isolate drops every packet from and to a VM.
-func (sim *simulation) isolate(vm netip.Addr) {
-	sim.drop = func(from, to netip.Addr) bool { return from == vm || to == vm }
-}
-
-// drain publishes a backend server as draining.
-func (sim *simulation) drain(b *backendVM) {
-	b.registration.State = currantturn.BackendDraining
-	sim.publish()
-}
-
-// removeBackend drains a backend server and ends it together with its VM.
-func (sim *simulation) removeBackend(b *backendVM) {
-	sim.drain(b)
-	b.unresponsive, b.removedAt = true, sim.now
-	sim.isolate(b.address.Addr())
-	sim.publish()
-}
-
 // publish puts the present registrations in force at every running balancer.
 func (sim *simulation) publish() {
 	sim.revision++
@@ -385,277 +305,6 @@
 	}
 }
 
-// transmit sends a frame from one VM to another, unless it is dropped.
-func (sim *simulation) transmit(from netip.Addr, to netip.AddrPort, frame []byte) {
-	sim.bytesSent[from] += len(frame)
-	if sim.drop != nil && sim.drop(from, to.Addr()) {
-		return
-	}
-	delay := hopDelay + sim.linkDelay(from, len(frame))
-	for _, late := range sim.copies(from, to.Addr()) {
-		sim.schedule(delay+late, func() { sim.receive(netip.AddrPortFrom(from, linkPort), to, frame) })
-	}
-}
-
-// copies returns by how much each copy of a packet between two VMs is late: one that is not, unless
-// a link is faulty.
-func (sim *simulation) copies(from, to netip.Addr) []time.Duration {
-	if sim.faulty == nil || !sim.faulty(from) && !sim.faulty(to) {
-		return []time.Duration{0}
-	}
-	late := time.Duration(sim.rng.Int64N(int64(maxLateness)))
-	switch sim.rng.IntN(8) {
-	case 0:
-		return nil
-	case 1:
-		return []time.Duration{late}
-	case 2:
-		return []time.Duration{0, late}
-	}
-	return []time.Duration{0}
-}
-
-// linkDelay returns how long a frame waits for the link of its balancer.
-func (sim *simulation) linkDelay(from netip.Addr, size int) time.Duration {
-	for _, b := range sim.balancers {
-		if b.address.Addr() == from && b.linkRate > 0 {
-			if b.linkIdleAt.Before(sim.now) {
-				b.linkIdleAt = sim.now
-			}
-			b.linkIdleAt = b.linkIdleAt.Add(time.Duration(float64(size+datagramHeader) / b.linkRate * float64(time.Second)))
-			return b.linkIdleAt.Sub(sim.now)
-		}
-	}
-	return 0
-}
-
-// isFrozen reports whether a VM stands still.
-func (sim *simulation) isFrozen(vm netip.Addr) bool {
-	_, frozen := sim.frozen[vm]
-	return frozen
-}
-
-// keep keeps what a VM receives while it stands still, and reports whether it does.
-func (sim *simulation) keep(vm netip.Addr, process func()) bool {
-	if !sim.isFrozen(vm) {
-		return false
-	}
-	sim.frozen[vm] = append(sim.frozen[vm], process)
-	return true
-}
-
-// thaw lets a VM go on, which processes what it has received meanwhile.
-func (sim *simulation) thaw(vm netip.Addr) {
-	kept := sim.frozen[vm]
-	delete(sim.frozen, vm)
-	for _, process := range kept {
-		process()
-	}
-}
-
-// receive delivers a frame to the process at an address.
-func (sim *simulation) receive(from, to netip.AddrPort, frame []byte) {
-	if sim.keep(to.Addr(), func() { sim.receive(from, to, frame) }) {
-		return
-	}
-	e := currantturn.Envelope{Direction: currantturn.ToBackend}
-	m, err := relay.Decode(frame, "verify", &e)
-	if err != nil {
-		panic(err)
-	}
-	if m == nil {
-		if err := sim.codec.Decode(e.Packet.Payload, currantturn.ToBackend, &e.Packet); err != nil {
-			panic(err)
-		}
-	}
-	sim.traceFrame(from, to, &e, m)
-	if announce, ok := m.(relay.Announce); ok {
-		if sim.storeDown {
-			sim.recordAnnounced(from, announce)
-		}
-		return
-	}
-	for _, b := range sim.balancers {
-		if b.address == to && !b.down {
-			sim.apply(to.Addr(), nil, func(now time.Time, out *currantturn.Effects) {
-				if m != nil {
-					b.balancer.Handle(now, from, m, out)
-					return
-				}
-				b.balancer.Route(now, from, &e, out)
-			})
-		}
-	}
-	for _, b := range sim.backends {
-		if b.address == to && !b.agentDown {
-			if _, query := m.(relay.Query); query || m == nil && e.Intent == currantturn.IntentSearch {
-				sim.searchedFor[b.registration.Service]++
-			}
-			sim.apply(to.Addr(), b, func(now time.Time, out *currantturn.Effects) {
-				if m != nil {
-					b.agent.Handle(now, from, m, out)
-					return
-				}
-				b.agent.Route(now, from, &e, out)
-			})
-		}
-	}
-}
-
-// sendFromCaller sends a caller's packet to the running balancer that the fabric
-// selects.
-func (sim *simulation) sendFromCaller(c *caller, packet []byte) {
-	sim.schedule(hopDelay, func() {
-		var up []*balancerVM
-		for _, b := range sim.balancers {
-			if !b.down && (b.frozenAt.IsZero() || sim.now.Sub(b.frozenAt) < rotationDelay) {
-				up = append(up, b)
-			}
-		}
-		if len(up) == 0 {
-			return
-		}
-		b := up[int(c.address.Port())%len(up)]
-		c.requestThrough = b.address.Addr()
-		e := currantturn.Envelope{Direction: currantturn.ToBackend}
-		if err := sim.codec.Decode(packet, currantturn.ToBackend, &e.Packet); err != nil {
-			panic(err)
-		}
-		route := func() {
-			sim.apply(b.address.Addr(), nil, func(now time.Time, out *currantturn.Effects) {
-				b.balancer.Route(now, netip.AddrPort{}, &e, out)
-			})
-		}
-		for _, late := range sim.copies(b.address.Addr(), b.address.Addr()) {
-			sim.schedule(late, func() {
-				if !b.down && !sim.keep(b.address.Addr(), func() {
-					if !b.down {
-						route()
-					}
-				}) {
-					route()
-				}
-			})
-		}
-	})
-}
-
-// encodePacket encodes a packet as callers and backend servers do.
-func encodePacket(from, to netip.AddrPort, flags byte, seq, ack uint32, data int) []byte {
-	p := platformtest.Packet{From: from, To: to, Flags: flags, Sequence: seq, Acked: ack, Data: strings.Repeat("x", data)}
-	return p.Encode()
-}
-
-const (
-	syn = platformtest.Open
-	ack = platformtest.Ack
-)
-
-// deliverToBackend processes a packet as a backend server does.
-func (sim *simulation) deliverToBackend(b *backendVM, packet []byte) {
-	var p currantturn.Packet
-	if err := sim.codec.Decode(packet, currantturn.ToBackend, &p); err != nil {
-		panic(err)
-	}
-	if sim.trace != nil {
-		sim.trace(p.Flow.Caller, "%s gets %s packet, acknowledging %d", b.registration.ID, p.Mark, p.Acked)
-	}
-	if p.Mark == currantturn.MarkOpening {
-		b.openings = append(b.openings, sim.now)
-	}
-	if b.unresponsive {
-		return
-	}
-	if c := sim.callers[p.Flow.Caller]; c != nil && p.Mark != currantturn.MarkOpening {
-		c.recordDelivery(sim, b, p.Sequence)
-	}
-	conn := b.flows[p.Flow.Caller]
-	switch {
-	case p.Mark == currantturn.MarkOpening && conn == nil && b.full:
-		platformtest.Bounce(packet)
-		sim.sendFromBackend(b, packet)
-	case p.Mark == currantturn.MarkOpening:
-		if conn == nil {
-			conn = &connection{initialSequence: sim.rng.Uint32(), nextSequence: p.Sequence + 1}
-			b.flows[p.Flow.Caller] = conn
-			sim.repeatAnswer(b, p.Flow.Caller, conn, 0)
-			if sim.onOpening != nil {
-				sim.onOpening(b, &p)
-			}
-		}
-		sim.answerOpening(b, p.Flow.Caller, conn)
-	case conn == nil || p.Acked-conn.initialSequence-1 > conn.sent:
-		platformtest.Bounce(packet)
-		sim.sendFromBackend(b, packet)
-	case p.DataSize > 0 && p.Sequence == conn.nextSequence:
-		conn.acknowledged = true
-		conn.nextSequence += uint32(p.DataSize)
-		sim.runRequest(b, func() {
-			b.requestsRun++
-			sequence := conn.initialSequence + 1 + conn.sent
-			conn.sent += answerSize
-			sim.sendFromBackend(b, encodePacket(serviceAddress, p.Flow.Caller, ack, sequence, conn.nextSequence, answerSize))
-		})
-	}
-}
-
-// answerOpening sends a backend server's answer to an opening packet.
-func (sim *simulation) answerOpening(b *backendVM, caller netip.AddrPort, conn *connection) {
-	sim.sendFromBackend(b, encodePacket(serviceAddress, caller, syn|ack, conn.initialSequence, conn.nextSequence, 0))
-}
-
-// repeatAnswer repeats the answer to an opening packet until the caller acknowledges it; n is how
-// often it has been repeated.
-func (sim *simulation) repeatAnswer(b *backendVM, caller netip.AddrPort, conn *connection, n int) {
-	sim.schedule(min(firstRetransmit<<n, maxAnswerDelay), func() {
-		if conn.acknowledged || b.unresponsive || b.flows[caller] != conn || n == maxRepeats {
-			return
-		}
-		sim.answerOpening(b, caller, conn)
-		sim.repeatAnswer(b, caller, conn, n+1)
-	})
-}
-
-// crash restarts a backend server, which loses its flows and requests.
-func (b *backendVM) crash() {
-	clear(b.flows)
-	b.queue = nil
-	b.crashes++
-}
-
-// runRequest runs a request in a slot, or queues it in order of arrival.
-func (sim *simulation) runRequest(b *backendVM, done func()) {
-	if b.busySlots >= b.registration.Slots {
-		b.queue = append(b.queue, done)
-		return
-	}
-	b.busySlots++
-	crashes := b.crashes
-	sim.schedule(b.serviceTime, func() {
-		b.busySlots--
-		if !b.unresponsive && b.crashes == crashes {
-			done()
-		}
-		if len(b.queue) > 0 {
-			next := b.queue[0]
-			b.queue = b.queue[1:]
-			sim.runRequest(b, next)
-		}
-	})
-}
-
-// sendFromBackend passes a backend server's packet to its agent.
-func (sim *simulation) sendFromBackend(b *backendVM, packet []byte) {
-	var p currantturn.Packet
-	if err := sim.codec.Decode(packet, currantturn.ToCaller, &p); err != nil {
-		panic(err)
-	}
-	if b.agentDown || sim.keep(b.address.Addr(), func() { sim.sendFromBackend(b, packet) }) {
-		return
-	}
-	sim.apply(b.address.Addr(), b, func(now time.Time, out *currantturn.Effects) { b.agent.Answer(now, &p, out) })
-}
-
 func (sim *simulation) deliverToCaller(from netip.Addr, packet []byte) {
 	var p currantturn.Packet
 	if err := sim.codec.Decode(packet, currantturn.ToCaller, &p); err != nil {
