--- a/internal/coordination/flowbalancer/explore_test.go
+++ b/internal/coordination/flowbalancer/explore_test.go
@@ -236,11 +236,7 @@
 	}
 	x.versions = append(x.versions, service)
 	x.earlier = []routehistory.Entry{{Address: serviceAddress, Service: "verify"}, {Address: serviceAddress, Service: "reports"}}
-	next := *x.routing
-	next.Version++
-	next.Routes = []currantturn.FlowRoute{x.routing.Routes[0]}
-	next.Routes[0].Shares = []currantturn.Share{{Service: service, Weight: 1}}
-	x.routing = &next
+	x.routeTo(service)
 	x.publish()
 }
 
--- a/internal/coordination/flowbalancer/route_change_test.go
+++ b/internal/coordination/flowbalancer/route_change_test.go
@@ -28,11 +28,7 @@
 		sim.addCaller(300 * time.Millisecond)
 	}
 	sim.run(time.Second)
-	next := *sim.routing
-	next.Version++
-	next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
-	next.Routes[0].Shares = []currantturn.Share{{Service: "verify", Weight: 1}}
-	sim.routing = &next
+	sim.routeTo("verify")
 	return sim
 }
 
@@ -99,11 +95,7 @@
 			callers = append(callers, sim.addCaller(0))
 		}
 		sim.run(300 * time.Millisecond)
-		next := *sim.routing
-		next.Version++
-		next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
-		next.Routes[0].Shares = []currantturn.Share{{Service: "reports", Weight: 1}}
-		sim.routing = &next
+		sim.routeTo("reports")
 		if !others {
 			for _, b := range sim.backends {
 				b.unlisted = !isFormer(b)
@@ -136,11 +128,7 @@
 		sim.publish()
 		c := sim.addCaller(0)
 		sim.run(230 * time.Millisecond)
-		next := *sim.routing
-		next.Version++
-		next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
-		next.Routes[0].Shares = []currantturn.Share{{Service: "reports", Weight: 1}}
-		sim.routing = &next
+		sim.routeTo("reports")
 		sim.publish()
 		sim.run(2 * time.Second)
 		Expect(sim.violations).To(BeEmpty())
--- a/internal/coordination/flowbalancer/simulation_test.go
+++ b/internal/coordination/flowbalancer/simulation_test.go
@@ -233,6 +233,15 @@
 	}
 }
 
+// routeTo makes the next version of the routing, whose route leads to one service, without publishing it.
+func (sim *simulation) routeTo(service currantturn.ServiceName) {
+	next := *sim.routing
+	next.Version++
+	next.Routes = []currantturn.FlowRoute{sim.routing.Routes[0]}
+	next.Routes[0].Shares = []currantturn.Share{{Service: service, Weight: 1}}
+	sim.routing = &next
+}
+
 // publish puts the present registrations in force at every running balancer.
 func (sim *simulation) publish() {
 	sim.revision++
